Set down the shape with one path from end to end

Folders follow life spans; workers decide over ranked locks; decisions know no clock and no encoding.

--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,6 @@
+//! The command line: one file with its types, and one file for each subcommand.
+
+mod args;
+mod serve;
+
+pub use args::{Cmd, ServeArgs};
--- /dev/null
+++ b/src/error_tests.rs
@@ -0,0 +1,35 @@
+//! The table from kind to answer is whole and consistent.
+
+use super::{ErrorKind, Ran};
+
+#[test]
+fn each_row_stands_at_its_kind() {
+    for row in ErrorKind::TABLE {
+        assert_eq!(row.kind.row(), row, "{}", row.code);
+    }
+}
+
+#[test]
+fn codes_are_unique() {
+    for (at, row) in ErrorKind::TABLE.iter().enumerate() {
+        let twin = ErrorKind::TABLE[at + 1..]
+            .iter()
+            .find(|other| other.code == row.code);
+        assert_eq!(twin, None);
+    }
+}
+
+#[test]
+fn a_kind_that_follows_a_send_never_says_not_run() {
+    let after_send = [
+        ErrorKind::Crashed,
+        ErrorKind::UpstreamFailed,
+        ErrorKind::OutOfTime,
+        ErrorKind::Unsettled,
+        ErrorKind::Duplicate,
+        ErrorKind::Internal,
+    ];
+    for kind in after_send {
+        assert_eq!(kind.row().ran, Ran::MayHaveRun, "{kind}");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,35 @@
+//! A query tier over many shards: any instance takes a query, asks one replica of
+//! every shard of one snapshot, and returns one answer that states its coverage.
+//!
+//! Folders are by life span: [`request`](Query), connection, version
+//! ([`Directory`]) and process ([`Upstreams`]). What is public is listed here; start
+//! reading at `docs/DESIGN.md`.
+
+mod cmd;
+mod connection;
+mod error;
+mod process;
+mod request;
+mod types;
+mod version;
+
+pub use cmd::{Cmd, ServeArgs};
+pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
+pub use error::{ErrorKind, KindRow, Ran, Refusal};
+pub use process::{
+    Budgets, Change, Changes, Expected, HttpPlatform, LegEnd, ListedInstance, Listing, Object,
+    ObjectKey, Platform, PlatformError, Settings, SettingsError, Upstreams,
+};
+pub use request::{
+    Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
+};
+pub use types::{
+    ByteCount, CallerName, ClassName, ConfigVersion, ConnectionCount, Coverage, FailureDomain,
+    IdempotencyKey, IndexName, InstanceName, KeyRange, LegId, ObjectVersion, ParseError, PerSecond,
+    QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span, Timestamp,
+    UpstreamName,
+};
+pub use version::{
+    Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire, Snapshot,
+    SnapshotWire, Targets, UpstreamSpec, UpstreamWire, WireError,
+};
--- /dev/null
+++ b/src/process/follow.rs
@@ -0,0 +1,73 @@
+//! Keeps the directory in step with the platform's objects.
+
+use std::sync::Arc;
+
+use super::{Instance, Object, PlatformError};
+use crate::types::{ConfigVersion, Revision, Span};
+use crate::version::{Class, ClassesWire, Directory, Index, IndexWire};
+
+/// The key of the object that holds all classes.
+pub(crate) const CLASSES_KEY: &str = "config/classes";
+const INDEX_PREFIX: &str = "indexes/";
+const ALL_PREFIX: &str = "";
+const WATCH_WAIT: Span = Span::from_secs(20);
+const PAUSE_AFTER_ERROR: Span = Span::from_millis(500);
+
+/// Follows the platform until the process ends.
+pub(crate) async fn follow(instance: Arc<Instance>) {
+    loop {
+        if let Err(error) = follow_once(&instance).await {
+            tracing::debug!(%error, "following the platform begins again");
+        }
+        async_std::task::sleep(PAUSE_AFTER_ERROR.as_duration()).await;
+    }
+}
+
+async fn follow_once(instance: &Instance) -> Result<(), PlatformError> {
+    let listing = instance.platform.list(ALL_PREFIX).await?;
+    for object in &listing.objects {
+        adopt(instance, object);
+    }
+    let mut revision: Revision = listing.revision;
+    loop {
+        let changes = instance
+            .platform
+            .watch(ALL_PREFIX, revision, WATCH_WAIT)
+            .await?;
+        for object in changes
+            .changes
+            .iter()
+            .filter_map(|change| change.object.as_ref())
+        {
+            adopt(instance, object);
+        }
+        revision = changes.revision;
+    }
+}
+
+fn adopt(instance: &Instance, object: &Object) {
+    let mut directory = instance.tables.directory.lock();
+    match read(&directory, object) {
+        Ok(Some(next)) => *directory = Arc::new(next),
+        Ok(None) => {}
+        Err(error) => tracing::warn!(key = %object.key, %error, "an object is ignored"),
+    }
+}
+
+fn read(directory: &Directory, object: &Object) -> anyhow::Result<Option<Directory>> {
+    let key = object.key.as_str();
+    if key == CLASSES_KEY {
+        let wire: ClassesWire = serde_json::from_slice(&object.value)?;
+        let classes = wire
+            .classes
+            .iter()
+            .map(Class::try_from)
+            .collect::<Result<_, _>>()?;
+        return Ok(directory.with_classes(ConfigVersion(object.version.0), classes));
+    }
+    if key.starts_with(INDEX_PREFIX) {
+        let wire: IndexWire = serde_json::from_slice(&object.value)?;
+        return Ok(directory.with_index(Index::try_from((&wire, object.version))?));
+    }
+    Ok(None)
+}
--- /dev/null
+++ b/src/process/instance.rs
@@ -0,0 +1,139 @@
+//! One instance: the tables, the workers, and the way of a request through them.
+
+use std::future::Future;
+use std::sync::Arc;
+
+use async_std::channel::{self, Sender};
+use futures::future::{Either, select};
+use indexmap::IndexMap;
+use rand::RngCore;
+
+use super::tables::{EntryState, Tables};
+use super::timer::Timer;
+use super::{Clock, HttpPlatform, Job, Metrics, Platform, Settings, follow, pool};
+use crate::connection::Links;
+use crate::error::{ErrorKind, Refusal};
+use crate::request::{Answer, Inquiry, Query};
+use crate::types::{QueryId, Span};
+
+const JOB_QUEUE: usize = 65_536;
+const ANSWER_MARGIN: Span = Span::from_millis(2);
+
+/// Everything that lives as long as the process.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub(crate) settings: Settings,
+    pub(crate) clock: Clock,
+    pub(crate) tables: Tables,
+    pub(crate) timer: Arc<Timer>,
+    pub(crate) links: Links,
+    pub(crate) jobs: Sender<Job>,
+    pub(crate) metrics: Metrics,
+    pub(crate) platform: Arc<dyn Platform>,
+}
+
+impl Instance {
+    /// Starts the workers, the timer and the following of the platform.
+    ///
+    /// # Errors
+    /// When a thread cannot be started or a metric is refused.
+    pub(crate) fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
+        let clock = Clock::new();
+        let (jobs, queue) = channel::bounded(JOB_QUEUE);
+        let platform = HttpPlatform::new(settings.platform);
+        let workers = settings.workers;
+        let instance = Arc::new(Self {
+            settings,
+            clock,
+            tables: Tables::new(rand::rng().next_u64()),
+            timer: Arc::new(Timer::new()),
+            links: Links::new(),
+            jobs,
+            metrics: Metrics::new()?,
+            platform: Arc::new(platform),
+        });
+        pool::spawn(&instance, &queue, workers)?;
+        instance.timer.spawn(clock, instance.jobs.clone())?;
+        async_std::task::spawn(follow::follow(Arc::clone(&instance)));
+        Ok(instance)
+    }
+
+    /// Answers one inquiry; `gone` completes when the caller has hung up.
+    ///
+    /// # Errors
+    /// A [`Refusal`] whose kind says whether the request may have run.
+    pub(crate) async fn ask(
+        &self,
+        inquiry: Inquiry,
+        gone: impl Future<Output = ()> + Unpin,
+    ) -> Result<Answer, Refusal> {
+        let class = inquiry.class.clone();
+        let outcome = self.admit_and_wait(inquiry, gone).await;
+        match &outcome {
+            Ok(answer) => self
+                .metrics
+                .answered(&class, answer.meets_target, answer.took),
+            Err(refusal) => self.metrics.refused(refusal.kind),
+        }
+        outcome
+    }
+
+    async fn admit_and_wait(
+        &self,
+        inquiry: Inquiry,
+        gone: impl Future<Output = ()> + Unpin,
+    ) -> Result<Answer, Refusal> {
+        let (id, answer) = self.admit(inquiry)?;
+        self.jobs
+            .send(Job::Start(id))
+            .await
+            .map_err(|_| stopping())?;
+        match select(answer, gone).await {
+            Either::Left((outcome, _)) => outcome.map_err(|_| stopping())?,
+            Either::Right(((), _)) => {
+                self.jobs
+                    .send(Job::CallerGone(id))
+                    .await
+                    .map_err(|_| stopping())?;
+                Err(Refusal::new(ErrorKind::Internal, "the caller hung up"))
+            }
+        }
+    }
+
+    fn admit(
+        &self,
+        inquiry: Inquiry,
+    ) -> Result<(QueryId, impl Future<Output = Outcome> + Unpin + use<>), Refusal> {
+        let directory = self.tables.directory();
+        let class = directory.class(&inquiry.class)?;
+        let snapshot = directory.newest(&class.index)?;
+        let id =
+            QueryId(u128::from(rand::rng().next_u64()) << 64 | u128::from(rand::rng().next_u64()));
+        let now = self.clock.now();
+        let timeout = inquiry
+            .timeout
+            .unwrap_or(class.targets.latency)
+            .min(class.targets.latency);
+        let deadline = now + timeout - ANSWER_MARGIN;
+        let (reply, answer) = channel::bounded(1);
+        let query = Query::new(id, class, snapshot, inquiry.body, now, deadline);
+        self.tables.insert(
+            id,
+            EntryState {
+                query,
+                legs: IndexMap::new(),
+                reply,
+            },
+        );
+        Ok((id, Box::pin(async move { answer.recv().await })))
+    }
+}
+
+type Outcome = Result<Result<Answer, Refusal>, channel::RecvError>;
+
+fn stopping() -> Refusal {
+    Refusal::new(
+        ErrorKind::Internal,
+        "the instance stopped while the request was under way",
+    )
+}
--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,75 @@
+//! Counters and gauges; each is listed with its unit in `docs/OPERATING.md`.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::error::ErrorKind;
+use crate::request::LegFailure;
+use crate::types::{ClassName, Span, UpstreamName};
+
+/// The instruments of one process.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    answers: Counter<u64>,
+    refusals: Counter<u64>,
+    latency: Histogram<f64>,
+    legs: Counter<u64>,
+    leg_failures: Counter<u64>,
+    pub(crate) unheard_answers: Counter<u64>,
+}
+
+impl Metrics {
+    pub(crate) fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hyssopwalk");
+        Ok(Self {
+            registry,
+            _provider: provider,
+            answers: meter.u64_counter("hyssopwalk_answers").build(),
+            refusals: meter.u64_counter("hyssopwalk_refusals").build(),
+            latency: meter.f64_histogram("hyssopwalk_answer_seconds").build(),
+            legs: meter.u64_counter("hyssopwalk_legs").build(),
+            leg_failures: meter.u64_counter("hyssopwalk_leg_failures").build(),
+            unheard_answers: meter.u64_counter("hyssopwalk_unheard_answers").build(),
+        })
+    }
+
+    pub(crate) fn answered(&self, class: &ClassName, complete: bool, took: Span) {
+        let class = KeyValue::new("class", class.to_string());
+        self.answers
+            .add(1, &[class.clone(), KeyValue::new("complete", complete)]);
+        self.latency
+            .record(took.as_duration().as_secs_f64(), &[class]);
+    }
+
+    pub(crate) fn refused(&self, kind: ErrorKind) {
+        self.refusals
+            .add(1, &[KeyValue::new("kind", kind.row().code)]);
+    }
+
+    pub(crate) fn leg_sent(&self, upstream: &UpstreamName) {
+        self.legs
+            .add(1, &[KeyValue::new("upstream", upstream.to_string())]);
+    }
+
+    pub(crate) fn leg_failed(&self, upstream: &UpstreamName, failure: LegFailure) {
+        let upstream = KeyValue::new("upstream", upstream.to_string());
+        self.leg_failures
+            .add(1, &[upstream, KeyValue::new("failure", failure.code())]);
+    }
+
+    /// All metrics in the text format of Prometheus.
+    pub(crate) fn render(&self) -> anyhow::Result<String> {
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(String::from_utf8(buf)?)
+    }
+}
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,33 @@
+//! What lives for a process: the shared tables, the pool of workers over them, the
+//! clock, the settings and the edge towards the platform.
+
+mod budget;
+mod clock;
+mod dispatch;
+mod follow;
+mod instance;
+mod lock;
+mod metrics;
+mod platform;
+mod pool;
+mod settings;
+mod tables;
+mod timer;
+mod upstreams;
+
+#[cfg(test)]
+mod process_tests;
+
+pub use budget::Budgets;
+pub use platform::{
+    Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey, Platform,
+    PlatformError,
+};
+pub use settings::{Settings, SettingsError};
+pub use upstreams::{LegEnd, Upstreams};
+
+pub(crate) use clock::Clock;
+pub(crate) use dispatch::Job;
+pub(crate) use instance::Instance;
+pub(crate) use lock::{Rank, Ranked};
+pub(crate) use metrics::Metrics;
--- /dev/null
+++ b/src/process/platform/mod.rs
@@ -0,0 +1,167 @@
+//! The edge towards the platform's object API: a trait, its types, and the client
+//! that speaks HTTP. What the API promises is in `docs/INTERFACES.md`, "Platform".
+
+mod http;
+mod wire;
+
+pub use http::HttpPlatform;
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use futures::future::BoxFuture;
+
+use crate::types::{FailureDomain, InstanceName, ObjectVersion, Region, Revision, Span};
+
+/// The name of an object; parts are joined by `/`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ObjectKey(String);
+
+impl ObjectKey {
+    /// A key from text that the platform stated or a constant of ours.
+    #[must_use]
+    pub fn new(key: impl Into<String>) -> Self {
+        Self(key.into())
+    }
+
+    /// The key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// An object at one version.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Object {
+    /// Its key.
+    pub key: ObjectKey,
+    /// Its version, larger after each write.
+    pub version: ObjectVersion,
+    /// Its value, at most a megabyte.
+    pub value: Vec<u8>,
+}
+
+/// What a write expects to find; it has no effect when it finds something else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expected {
+    /// No object of that key.
+    Absent,
+    /// The object at this version.
+    Version(ObjectVersion),
+}
+
+/// All objects under a prefix at one revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listing {
+    /// From where a watch goes on.
+    pub revision: Revision,
+    /// The objects in the order of their keys.
+    pub objects: Vec<Object>,
+}
+
+/// One change under a watched prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The key that changed.
+    pub key: ObjectKey,
+    /// Its new state, or none when it was deleted.
+    pub object: Option<Object>,
+}
+
+/// The changes since a revision; none when the wait ended first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// From where the next watch goes on.
+    pub revision: Revision,
+    /// The changes in order.
+    pub changes: Vec<Change>,
+}
+
+/// An instance in the platform's list, which lags behind what is true.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedInstance {
+    /// Its name.
+    pub name: InstanceName,
+    /// Where callers connect.
+    pub addr: SocketAddr,
+    /// Where other instances connect.
+    pub peer_addr: SocketAddr,
+    /// The failure domain it stands in.
+    pub failure_domain: FailureDomain,
+    /// The region of that failure domain.
+    pub region: Region,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum PlatformError {
+    /// The object was not what the write expected; the write had no effect.
+    #[error("the object is not at the expected version")]
+    Conflict,
+    /// The platform has forgotten the changes since that revision.
+    #[error("the history since that revision is gone")]
+    Compacted,
+    /// The value is larger than the platform takes; the write had no effect.
+    #[error("the value is too large")]
+    TooLarge,
+    /// The platform refused because of its load; the call had no effect.
+    #[error("the platform sheds load")]
+    Busy,
+    /// No connection could be made; the call had no effect.
+    #[error("could not reach the platform: {0}")]
+    Unreachable(String),
+    /// The reply was lost; a write may or may not have taken effect.
+    #[error("the platform's reply was lost: {0}")]
+    Unsettled(String),
+    /// The platform replied with something that is not of its protocol.
+    #[error("the platform's reply could not be read: {0}")]
+    Protocol(String),
+}
+
+/// The platform's object API.
+pub trait Platform: fmt::Debug + Send + Sync {
+    /// The instances that the platform believes are there.
+    fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>>;
+
+    /// The object of that key, if there is one.
+    fn get<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+    ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>>;
+
+    /// Every object whose key begins with `prefix`.
+    fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, PlatformError>>;
+
+    /// Writes an object that is as expected, and says its new version.
+    fn put<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        value: Vec<u8>,
+        expected: Expected,
+    ) -> BoxFuture<'a, Result<ObjectVersion, PlatformError>>;
+
+    /// Deletes an object that is at that version.
+    fn delete<'a>(
+        &'a self,
+        key: &'a ObjectKey,
+        expected: ObjectVersion,
+    ) -> BoxFuture<'a, Result<(), PlatformError>>;
+
+    /// The changes under `prefix` after `from`, waiting at most `wait` for one.
+    fn watch<'a>(
+        &'a self,
+        prefix: &'a str,
+        from: Revision,
+        wait: Span,
+    ) -> BoxFuture<'a, Result<Changes, PlatformError>>;
+}
--- /dev/null
+++ b/src/process/pool.rs
@@ -0,0 +1,32 @@
+//! The pool of workers: threads that take jobs from one queue and decide over the
+//! shared tables. A worker that has no job is blocked on the queue.
+
+use std::sync::Arc;
+use std::thread;
+
+use async_std::channel::Receiver;
+
+use super::dispatch::dispatch;
+use super::{Instance, Job};
+
+/// Starts the workers; each ends when the queue is closed.
+pub(crate) fn spawn(
+    instance: &Arc<Instance>,
+    jobs: &Receiver<Job>,
+    workers: usize,
+) -> std::io::Result<()> {
+    for number in 0..workers {
+        let instance = Arc::clone(instance);
+        let jobs = jobs.clone();
+        thread::Builder::new()
+            .name(format!("worker-{number}"))
+            .spawn(move || work(&instance, &jobs))?;
+    }
+    Ok(())
+}
+
+fn work(instance: &Arc<Instance>, jobs: &Receiver<Job>) {
+    while let Ok(job) = jobs.recv_blocking() {
+        dispatch(instance, job);
+    }
+}
--- /dev/null
+++ b/src/process/process_tests.rs
@@ -0,0 +1,83 @@
+//! The lock order is enforced, settings are checked together, and budgets hold.
+
+use std::net::SocketAddr;
+
+use rstest::rstest;
+
+use super::{Budgets, Rank, Ranked, Settings, SettingsError};
+use crate::types::{ByteCount, Ratio, Span};
+use crate::version::{Class, Targets};
+
+#[test]
+fn locks_are_taken_in_order() {
+    let first = Ranked::new(Rank::Queries, 1);
+    let second = Ranked::new(Rank::Upstreams, 2);
+    let held = first.lock();
+    assert_eq!(*held + *second.lock(), 3);
+}
+
+#[test]
+#[should_panic(expected = "taken while")]
+fn locks_taken_out_of_order_are_found() {
+    let first = Ranked::new(Rank::Queries, 1);
+    let second = Ranked::new(Rank::Upstreams, 2);
+    let _held = second.lock();
+    let _wrong = first.lock();
+}
+
+fn settings() -> Settings {
+    Settings {
+        name: "one".parse().unwrap(),
+        listen: "127.0.0.1:8080".parse().unwrap(),
+        platform: "127.0.0.1:8081".parse().unwrap(),
+        failure_domain: "suva-a".parse().unwrap(),
+        region: "central".parse().unwrap(),
+        workers: 4,
+        most_body: ByteCount(1024),
+    }
+}
+
+struct Case {
+    change: fn(&mut Settings),
+    wanted: fn(SocketAddr) -> Vec<SettingsError>,
+}
+
+#[rstest]
+#[case::good(Case { change: |_| {}, wanted: |_| vec![] })]
+#[case::two_at_once(Case {
+    change: |settings| {
+        settings.workers = 0;
+        settings.most_body = ByteCount(0);
+    },
+    wanted: |_| vec![SettingsError::Workers(0), SettingsError::MostBody],
+})]
+#[case::own_platform(Case {
+    change: |settings| settings.platform = settings.listen,
+    wanted: |listen| vec![SettingsError::SameAddress(listen)],
+})]
+fn settings_are_checked_together(#[case] case: Case) {
+    let mut settings = settings();
+    (case.change)(&mut settings);
+    assert_eq!(settings.check(), (case.wanted)(settings.listen));
+}
+
+#[test]
+fn extra_legs_stay_within_the_target_of_extra_load() {
+    let class = Class {
+        name: "counter".parse().unwrap(),
+        index: "finder".parse().unwrap(),
+        targets: Targets {
+            latency: Span::from_millis(170),
+            coverage: Ratio::ONE,
+            extra_load: "5%".parse().unwrap(),
+            repeatable: true,
+        },
+    };
+    let mut budgets = Budgets::default();
+    let mut extra = 0;
+    for _ in 0..10_000 {
+        budgets.earn(&class);
+        extra += u32::from(budgets.take(&class));
+    }
+    assert!((500..=510).contains(&extra), "{extra} extra legs of 10000");
+}
--- /dev/null
+++ b/src/process/tables.rs
@@ -0,0 +1,71 @@
+//! The tables that workers share, each behind its ranked lock.
+
+use std::sync::Arc;
+
+use async_std::channel::Sender;
+use futures::future::AbortHandle;
+use indexmap::IndexMap;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+use super::{Budgets, Rank, Ranked, Upstreams};
+use crate::error::Refusal;
+use crate::request::{Answer, Query};
+use crate::types::{LegId, QueryId};
+use crate::version::Directory;
+
+/// Every table of the process.
+#[derive(Debug)]
+pub(crate) struct Tables {
+    pub(crate) directory: Ranked<Arc<Directory>>,
+    pub(crate) queries: Ranked<IndexMap<QueryId, Arc<Entry>>>,
+    pub(crate) budgets: Ranked<Budgets>,
+    pub(crate) upstreams: Ranked<Upstreams>,
+    pub(crate) rng: Ranked<SmallRng>,
+}
+
+/// One query under way, with what it takes to stop its legs and tell its caller.
+#[derive(Debug)]
+pub(crate) struct Entry {
+    pub(crate) state: Ranked<EntryState>,
+}
+
+/// What an entry's lock guards.
+#[derive(Debug)]
+pub(crate) struct EntryState {
+    pub(crate) query: Query,
+    pub(crate) legs: IndexMap<LegId, AbortHandle>,
+    pub(crate) reply: Sender<Result<Answer, Refusal>>,
+}
+
+impl Tables {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            directory: Ranked::new(Rank::Directory, Arc::default()),
+            queries: Ranked::new(Rank::Queries, IndexMap::new()),
+            budgets: Ranked::new(Rank::Budgets, Budgets::default()),
+            upstreams: Ranked::new(Rank::Upstreams, Upstreams::default()),
+            rng: Ranked::new(Rank::Random, SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// The directory as it is now; later changes do not touch what is returned.
+    pub(crate) fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory.lock())
+    }
+
+    pub(crate) fn insert(&self, id: QueryId, state: EntryState) {
+        let entry = Entry {
+            state: Ranked::new(Rank::Query, state),
+        };
+        self.queries.lock().insert(id, Arc::new(entry));
+    }
+
+    pub(crate) fn entry(&self, id: QueryId) -> Option<Arc<Entry>> {
+        self.queries.lock().get(&id).cloned()
+    }
+
+    pub(crate) fn remove(&self, id: QueryId) {
+        self.queries.lock().swap_remove(&id);
+    }
+}
--- /dev/null
+++ b/src/process/timer.rs
@@ -0,0 +1,96 @@
+//! Wakes queries at the times they asked for, from one thread that sleeps between.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::sync::Arc;
+use std::thread;
+
+use async_std::channel::Sender;
+use parking_lot::Condvar;
+
+use super::{Clock, Job, Rank, Ranked};
+use crate::types::{QueryId, Timestamp};
+
+/// The times at which queries are to be woken, soonest first.
+#[derive(Debug)]
+pub(crate) struct Timer {
+    queue: Ranked<Queue>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Queue {
+    times: BinaryHeap<Reverse<(Timestamp, QueryId)>>,
+}
+
+impl Timer {
+    pub(crate) fn new() -> Self {
+        Self {
+            queue: Ranked::new(Rank::Timer, Queue::default()),
+            changed: Condvar::new(),
+        }
+    }
+
+    /// Asks for a query to be woken.
+    pub(crate) fn wake_at(&self, at: Timestamp, query: QueryId) {
+        let mut queue = self.queue.lock();
+        let soonest = queue
+            .times
+            .peek()
+            .is_none_or(|Reverse((first, _))| at < *first);
+        queue.times.push(Reverse((at, query)));
+        if soonest {
+            self.changed.notify_one();
+        }
+    }
+
+    /// Starts the thread that passes due times on as jobs.
+    pub(crate) fn spawn(self: &Arc<Self>, clock: Clock, jobs: Sender<Job>) -> std::io::Result<()> {
+        let timer = Arc::clone(self);
+        thread::Builder::new()
+            .name("timer".to_owned())
+            .spawn(move || timer.run(clock, &jobs))
+            .map(drop)
+    }
+
+    fn run(&self, clock: Clock, jobs: &Sender<Job>) {
+        loop {
+            for query in self.wait(clock) {
+                if jobs.send_blocking(Job::Wake(query)).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    fn wait(&self, clock: Clock) -> Vec<QueryId> {
+        let mut queue = self.queue.lock();
+        loop {
+            let due = queue.take_due(clock.now());
+            if !due.is_empty() {
+                return due;
+            }
+            match queue.times.peek() {
+                Some(Reverse((first, _))) => {
+                    let until = clock.instant(*first);
+                    queue.wait_until(&self.changed, until);
+                }
+                None => queue.wait(&self.changed),
+            }
+        }
+    }
+}
+
+impl Queue {
+    fn take_due(&mut self, now: Timestamp) -> Vec<QueryId> {
+        let mut due = Vec::new();
+        while let Some(Reverse((at, query))) = self.times.peek().copied() {
+            if at > now {
+                break;
+            }
+            self.times.pop();
+            due.push(query);
+        }
+        due
+    }
+}
--- /dev/null
+++ b/src/request/answer.rs
@@ -0,0 +1,33 @@
+//! The answer to one request.
+
+use crate::types::{Coverage, KeyRange, QueryId, ShardId, SnapshotId, Span};
+
+/// What a caller gets: parts of one snapshot, and which keys they cover.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// The request that it answers.
+    pub query: QueryId,
+    /// The snapshot that every part is from.
+    pub snapshot: SnapshotId,
+    /// The keys that the parts cover.
+    pub coverage: Coverage,
+    /// Whether the coverage meets the class's target.
+    pub meets_target: bool,
+    /// One part for each shard that replied, in the order of shards.
+    pub parts: Vec<Part>,
+    /// How many legs were sent.
+    pub legs: u32,
+    /// How long the request took inside the instance.
+    pub took: Span,
+}
+
+/// One shard's part of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// The shard it is from.
+    pub shard: ShardId,
+    /// The keys that shard holds.
+    pub range: KeyRange,
+    /// The upstream's reply, passed on unread.
+    pub body: Vec<u8>,
+}
--- /dev/null
+++ b/src/request/leg.rs
@@ -0,0 +1,116 @@
+//! One leg: one attempt of one query at one shard on one replica.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::error::Ran;
+use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, UpstreamName};
+use crate::version::UpstreamSpec;
+
+/// What an upstream is asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LegRequest {
+    /// The query that the leg belongs to.
+    pub query: QueryId,
+    /// The leg within its query.
+    pub leg: LegId,
+    /// The replica that is to run it.
+    pub upstream: Arc<UpstreamSpec>,
+    /// The snapshot to read.
+    pub snapshot: SnapshotId,
+    /// The shard to read.
+    pub shard: ShardId,
+    /// The keys of that shard.
+    pub range: KeyRange,
+    /// How much time is left when it is sent.
+    pub time_left: Span,
+    /// The query itself.
+    pub body: Arc<[u8]>,
+}
+
+/// What an upstream replied, with the ids it says the reply is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LegReply {
+    /// The query it says it ran.
+    pub query: QueryId,
+    /// The leg it says it ran.
+    pub leg: LegId,
+    /// The snapshot it says it read.
+    pub snapshot: SnapshotId,
+    /// The keys it says it searched.
+    pub range: KeyRange,
+    /// The reply itself.
+    pub body: Vec<u8>,
+}
+
+/// Why a leg has no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum LegFailure {
+    /// No connection could be made.
+    Unreachable,
+    /// The instance's own share of the upstream's slots or connections is used up.
+    NoShare,
+    /// The upstream has too much to do and did not run it.
+    Shed,
+    /// The upstream is leaving and did not run it.
+    Draining,
+    /// The upstream no longer holds the snapshot.
+    SnapshotGone,
+    /// The upstream ran out of the time it was given.
+    OutOfTime,
+    /// The connection broke while the leg was under way.
+    Lost,
+    /// The connection went silent while the leg was under way.
+    Silent,
+    /// The reply is truncated, or for something else.
+    Mangled,
+    /// The upstream reported an error of its own.
+    Failed,
+}
+
+impl LegFailure {
+    /// Whether the upstream may have run the leg all the same.
+    #[must_use]
+    pub fn ran(self) -> Ran {
+        match self {
+            Self::Unreachable
+            | Self::NoShare
+            | Self::Shed
+            | Self::Draining
+            | Self::SnapshotGone => Ran::NotRun,
+            Self::OutOfTime | Self::Lost | Self::Silent | Self::Mangled | Self::Failed => {
+                Ran::MayHaveRun
+            }
+        }
+    }
+
+    /// The stable name in metrics and logs.
+    #[must_use]
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Unreachable => "unreachable",
+            Self::NoShare => "no-share",
+            Self::Shed => "shed",
+            Self::Draining => "draining",
+            Self::SnapshotGone => "snapshot-gone",
+            Self::OutOfTime => "out-of-time",
+            Self::Lost => "lost",
+            Self::Silent => "silent",
+            Self::Mangled => "mangled",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+impl fmt::Display for LegFailure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.code())
+    }
+}
+
+/// A leg that is under way, as its query remembers it.
+#[derive(Clone, Debug)]
+pub(crate) struct Leg {
+    pub(crate) shard_at: usize,
+    pub(crate) upstream: UpstreamName,
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,34 @@
+//! What lives for one request: its legs, its answer, and the decisions between them.
+//!
+//! Nothing here reads a clock, touches a socket or knows an encoding. A [`Query`] is
+//! given events and returns actions; see `docs/DESIGN.md`, "Decisions".
+
+mod answer;
+mod leg;
+mod query;
+
+#[cfg(test)]
+mod query_tests;
+
+pub use answer::{Answer, Part};
+pub use leg::{LegFailure, LegReply, LegRequest};
+pub use query::{Action, Context, Event, Query};
+
+use std::sync::Arc;
+
+use crate::types::{CallerName, ClassName, IdempotencyKey, Span};
+
+/// What a caller asks, whichever front end it came through.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Inquiry {
+    /// Who asks.
+    pub caller: CallerName,
+    /// The class of work.
+    pub class: ClassName,
+    /// The query itself, which hyssopwalk passes on unread.
+    pub body: Arc<[u8]>,
+    /// The caller's own timeout, when it is shorter than the class's target.
+    pub timeout: Option<Span>,
+    /// The key that names an order across its repetitions.
+    pub key: Option<IdempotencyKey>,
+}
--- /dev/null
+++ b/src/types/rate.rs
@@ -0,0 +1,105 @@
+//! Rates and ratios.
+
+use std::fmt;
+use std::str::FromStr;
+
+use super::ParseError;
+
+/// Events a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct PerSecond(pub f64);
+
+impl fmt::Display for PerSecond {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for PerSecond {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let digits = text.strip_suffix("/s").unwrap_or(text);
+        match digits.parse::<f64>() {
+            Ok(rate) if rate.is_finite() && rate >= 0.0 => Ok(Self(rate)),
+            _ => Err(ParseError::new(
+                "a rate",
+                text,
+                "it is not a number like 12.5/s",
+            )),
+        }
+    }
+}
+
+/// A part of a whole, in parts per million, so that comparisons are exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Ratio(u32);
+
+impl Ratio {
+    /// The whole.
+    pub const ONE: Self = Self(Self::PARTS);
+    /// Nothing.
+    pub const ZERO: Self = Self(0);
+    const PARTS: u32 = 1_000_000;
+
+    /// A ratio from parts per million, cut to the whole.
+    #[must_use]
+    pub fn from_ppm(ppm: u32) -> Self {
+        Self(ppm.min(Self::PARTS))
+    }
+
+    /// `part` of `whole`, rounded down, so that a ratio is one only when all is there.
+    #[must_use]
+    pub fn of(part: u64, whole: u64) -> Self {
+        if whole == 0 {
+            return Self::ZERO;
+        }
+        let ppm = u128::from(part) * u128::from(Self::PARTS) / u128::from(whole);
+        Self(u32::try_from(ppm).unwrap_or(Self::PARTS).min(Self::PARTS))
+    }
+
+    /// Parts per million.
+    #[must_use]
+    pub fn ppm(self) -> u32 {
+        self.0
+    }
+
+    /// The ratio as a number between 0 and 1.
+    #[must_use]
+    pub fn as_f64(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::PARTS)
+    }
+}
+
+impl fmt::Display for Ratio {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / 10_000.0)
+    }
+}
+
+impl FromStr for Ratio {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        let wrong = || ParseError::new("a ratio", text, "it is not a percentage like 99.5%");
+        let percent: f64 = text
+            .strip_suffix('%')
+            .ok_or_else(wrong)?
+            .parse()
+            .map_err(|_| wrong())?;
+        if !(0.0..=100.0).contains(&percent) {
+            return Err(ParseError::new(
+                "a ratio",
+                text,
+                "it is not between 0% and 100%",
+            ));
+        }
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the range was checked above"
+        )]
+        let ppm = (percent * 10_000.0).round() as u32;
+        Ok(Self(ppm))
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,20 @@
+//! What lives for a version: the classes of one configuration, the shards of one
+//! snapshot, and the directory that joins them.
+//!
+//! Values here are immutable and shared by reference, so that a request keeps the
+//! version it began with whatever is published meanwhile.
+
+mod class;
+mod directory;
+mod snapshot;
+mod wire;
+
+#[cfg(test)]
+mod version_tests;
+
+pub use class::{Class, Targets};
+pub use directory::{Directory, Index};
+pub use snapshot::{Shard, Snapshot, UpstreamSpec};
+pub use wire::{
+    ClassWire, ClassesWire, IndexWire, ShardWire, SnapshotWire, UpstreamWire, WireError,
+};
--- /dev/null
+++ b/tests/path.rs
@@ -0,0 +1,121 @@
+//! The whole path with the real binary as a process of its own.
+
+mod standin;
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+
+use standin::platform::Platform;
+use standin::upstream::Mode;
+use standin::{free_addr, guild, query, until};
+
+struct Instance {
+    child: Child,
+    addr: SocketAddr,
+}
+
+impl Instance {
+    async fn start(platform: &Platform) -> Self {
+        let addr = free_addr().await;
+        let child = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"))
+            .args([
+                "serve",
+                "--name",
+                "one",
+                "--failure-domain",
+                "suva-a",
+                "--region",
+                "central",
+            ])
+            .args([
+                "--listen",
+                &addr.to_string(),
+                "--platform",
+                &platform.addr.to_string(),
+            ])
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("the binary starts");
+        Self { child, addr }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+async fn ready(addr: SocketAddr, class: &str) {
+    until("a first answer", || async {
+        query(addr, class, "{}")
+            .await
+            .is_ok_and(|(status, _)| status == 200)
+    })
+    .await;
+}
+
+#[async_std::test]
+async fn a_query_reaches_every_shard_of_the_guild() {
+    let platform = Platform::start().await;
+    let indexes = guild::start(&platform, &guild::SIZES[..1]).await;
+    let instance = Instance::start(&platform).await;
+    ready(instance.addr, "pattern-finder").await;
+
+    let (status, answer) = query(instance.addr, "pattern-finder", "{}").await.unwrap();
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(answer["coverage"]["ratio"], "100%");
+    assert_eq!(answer["parts"].as_array().unwrap().len(), 20);
+
+    for upstream in &indexes[0].upstreams[..2] {
+        upstream.behave(|behaviour| behaviour.mode = Mode::Shed);
+    }
+    let (status, answer) = query(instance.addr, "pattern-finder", "{}").await.unwrap();
+    assert_eq!(status, 200);
+    assert_eq!(answer["coverage"]["ratio"], "95%");
+    assert_eq!(answer["meets_target"], false);
+}
+
+#[async_std::test]
+async fn bad_requests_get_their_kind() {
+    struct Case {
+        class: &'static str,
+        body_bytes: usize,
+        status: u16,
+        kind: &'static str,
+    }
+    let cases = [
+        Case {
+            class: "no-such-class",
+            body_bytes: 2,
+            status: 404,
+            kind: "unknown-class",
+        },
+        Case {
+            class: "a%20b",
+            body_bytes: 2,
+            status: 400,
+            kind: "bad-request",
+        },
+        Case {
+            class: "courier-board",
+            body_bytes: 2 << 20,
+            status: 413,
+            kind: "too-large",
+        },
+    ];
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let instance = Instance::start(&platform).await;
+    ready(instance.addr, "courier-board").await;
+    for case in cases {
+        let body = "x".repeat(case.body_bytes);
+        let (status, refusal) = query(instance.addr, case.class, &body).await.unwrap();
+        assert_eq!(
+            (status, refusal["kind"].as_str()),
+            (case.status, Some(case.kind))
+        );
+        assert_eq!(refusal["ran"], "not run");
+    }
+}
