Give decisions the tables of limits and suspects

The query takes and gives back a share of slots for each leg and counts crashes by fingerprint, so that both policies can grow behind stated calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,17 +17,17 @@
 pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
-    Budgets, Change, Changes, Expected, HttpPlatform, LegEnd, ListedInstance, Listing, Object,
-    ObjectKey, Platform, PlatformError, Settings, SettingsError, Upstreams,
+    Budgets, Change, Changes, Expected, HttpPlatform, LegEnd, Limits, ListedInstance, Listing,
+    Object, ObjectKey, Platform, PlatformError, Settings, SettingsError, Suspects, Upstreams,
 };
 pub use request::{
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
 };
 pub use types::{
     ByteCount, CallerName, ClassName, ConfigVersion, ConnectionCount, Coverage, FailureDomain,
-    IdempotencyKey, IndexName, InstanceName, KeyRange, LegId, ObjectVersion, ParseError, PerSecond,
-    QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span, Timestamp,
-    UpstreamName,
+    Fingerprint, IdempotencyKey, IndexName, InstanceName, KeyRange, LegId, ObjectVersion,
+    ParseError, PerSecond, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span,
+    Timestamp, UpstreamName,
 };
 pub use version::{
     Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire, Snapshot,
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -49,10 +49,14 @@
 
 fn decide(instance: &Instance, state: &mut EntryState, event: Option<Event>) -> Vec<Action> {
     let mut budgets = instance.tables.budgets.lock();
+    let mut suspects = instance.tables.suspects.lock();
+    let mut limits = instance.tables.limits.lock();
     let mut upstreams = instance.tables.upstreams.lock();
     let mut rng = instance.tables.rng.lock();
     let mut cx = Context {
         now: instance.clock.now(),
+        suspects: &mut suspects,
+        limits: &mut limits,
         upstreams: &mut upstreams,
         budgets: &mut budgets,
         rng: &mut rng,
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -22,6 +22,10 @@
     Query,
     /// The extra load that classes may still cause.
     Budgets,
+    /// The requests that crashed upstreams.
+    Suspects,
+    /// The shares of upstreams' slots.
+    Limits,
     /// The upstreams as observed.
     Upstreams,
     /// The source of randomness.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,11 +6,13 @@
 mod dispatch;
 mod follow;
 mod instance;
+mod limits;
 mod lock;
 mod metrics;
 mod platform;
 mod pool;
 mod settings;
+mod suspects;
 mod tables;
 mod timer;
 mod upstreams;
@@ -19,11 +21,13 @@
 mod process_tests;
 
 pub use budget::Budgets;
+pub use limits::Limits;
 pub use platform::{
     Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey, Platform,
     PlatformError,
 };
 pub use settings::{Settings, SettingsError};
+pub use suspects::Suspects;
 pub use upstreams::{LegEnd, Upstreams};
 
 pub(crate) use clock::Clock;
--- a/src/process/tables.rs
+++ b/src/process/tables.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{Budgets, Rank, Ranked, Upstreams};
+use super::{Budgets, Limits, Rank, Ranked, Suspects, Upstreams};
 use crate::error::Refusal;
 use crate::request::{Answer, Query};
 use crate::types::{LegId, QueryId};
@@ -20,6 +20,8 @@
     pub(crate) directory: Ranked<Arc<Directory>>,
     pub(crate) queries: Ranked<IndexMap<QueryId, Arc<Entry>>>,
     pub(crate) budgets: Ranked<Budgets>,
+    pub(crate) suspects: Ranked<Suspects>,
+    pub(crate) limits: Ranked<Limits>,
     pub(crate) upstreams: Ranked<Upstreams>,
     pub(crate) rng: Ranked<SmallRng>,
 }
@@ -44,6 +46,8 @@
             directory: Ranked::new(Rank::Directory, Arc::default()),
             queries: Ranked::new(Rank::Queries, IndexMap::new()),
             budgets: Ranked::new(Rank::Budgets, Budgets::default()),
+            suspects: Ranked::new(Rank::Suspects, Suspects::default()),
+            limits: Ranked::new(Rank::Limits, Limits::default()),
             upstreams: Ranked::new(Rank::Upstreams, Upstreams::default()),
             rng: Ranked::new(Rank::Random, SmallRng::seed_from_u64(seed)),
         }
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::error::Ran;
-use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, UpstreamName};
+use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, Timestamp, UpstreamName};
 use crate::version::UpstreamSpec;
 
 /// What an upstream is asked.
@@ -113,4 +113,5 @@
 pub(crate) struct Leg {
     pub(crate) shard_at: usize,
     pub(crate) upstream: UpstreamName,
+    pub(crate) sent: Timestamp,
 }
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -8,8 +8,8 @@
 use super::leg::Leg;
 use super::{Answer, LegFailure, LegReply, LegRequest, Part};
 use crate::error::{ErrorKind, Ran, Refusal};
-use crate::process::{Budgets, LegEnd, Upstreams};
-use crate::types::{Coverage, LegId, QueryId, Timestamp, UpstreamName};
+use crate::process::{Budgets, LegEnd, Limits, Suspects, Upstreams};
+use crate::types::{Coverage, Fingerprint, LegId, QueryId, Timestamp, UpstreamName};
 use crate::version::{Class, Snapshot};
 
 /// What happens to a query.
@@ -43,6 +43,10 @@
 pub struct Context<'a> {
     /// The present.
     pub now: Timestamp,
+    /// The requests that crashed upstreams.
+    pub suspects: &'a mut Suspects,
+    /// This instance's share of every upstream's slots.
+    pub limits: &'a mut Limits,
     /// Every upstream as this instance observes it.
     pub upstreams: &'a mut Upstreams,
     /// How much extra load each class may still cause.
@@ -55,6 +59,7 @@
 #[derive(Debug)]
 pub struct Query {
     id: QueryId,
+    fingerprint: Fingerprint,
     class: Arc<Class>,
     snapshot: Arc<Snapshot>,
     body: Arc<[u8]>,
@@ -94,6 +99,7 @@
             .collect();
         Self {
             id,
+            fingerprint: Fingerprint::of(&class.name, &body),
             class,
             snapshot,
             body,
@@ -179,7 +185,9 @@
         if failure.ran() == Ran::MayHaveRun {
             self.ran = Ran::MayHaveRun;
         }
-        let may_retry = self.class.targets.repeatable || failure.ran() == Ran::NotRun;
+        let poison = cx.suspects.is_poison(cx.now, self.fingerprint);
+        let allowed = self.class.targets.repeatable || failure.ran() == Ran::NotRun;
+        let may_retry = allowed && !poison;
         let other_leg = self
             .legs
             .values()
@@ -228,6 +236,7 @@
             state.hedge_at = Some(at);
             actions.push(Action::WakeAt(at));
         }
+        cx.limits.take(cx.now, &upstream);
         cx.upstreams.begin(&upstream.name, cx.now);
         cx.budgets.earn(&self.class);
         self.legs.insert(
@@ -235,6 +244,7 @@
             Leg {
                 shard_at,
                 upstream: upstream.name.clone(),
+                sent: cx.now,
             },
         );
         actions.push(Action::Send(LegRequest {
@@ -251,7 +261,16 @@
 
     fn end_leg(&mut self, cx: &mut Context<'_>, id: LegId, end: LegEnd) -> Option<Leg> {
         let leg = self.legs.shift_remove(&id)?;
+        cx.limits
+            .give(cx.now, &leg.upstream, cx.now.since(leg.sent));
         cx.upstreams.end(&leg.upstream, cx.now, end);
+        match end {
+            LegEnd::Replied => cx.suspects.replied(cx.now, self.fingerprint),
+            LegEnd::Failed(LegFailure::Lost) => {
+                cx.suspects.crashed(cx.now, self.fingerprint, &leg.upstream);
+            }
+            LegEnd::Failed(_) | LegEnd::Cancelled => {}
+        }
         Some(leg)
     }
 
--- a/src/request/query_tests.rs
+++ b/src/request/query_tests.rs
@@ -8,7 +8,7 @@
 
 use super::{Action, Answer, Context, Event, LegFailure, LegReply, LegRequest, Query};
 use crate::error::{ErrorKind, Refusal};
-use crate::process::{Budgets, Upstreams};
+use crate::process::{Budgets, Limits, Suspects, Upstreams};
 use crate::types::{
     ConnectionCount, KeyRange, QueryId, Ratio, ShardId, SlotCount, SnapshotId, Span, Timestamp,
 };
@@ -60,6 +60,8 @@
 
 struct Bench {
     now: Timestamp,
+    suspects: Suspects,
+    limits: Limits,
     upstreams: Upstreams,
     budgets: Budgets,
     rng: SmallRng,
@@ -80,6 +82,8 @@
         );
         let mut bench = Self {
             now: Timestamp(0),
+            suspects: Suspects::default(),
+            limits: Limits::default(),
             upstreams: Upstreams::default(),
             budgets: Budgets::default(),
             rng: SmallRng::seed_from_u64(1),
@@ -94,6 +98,8 @@
     fn step(&mut self, event: Option<Event>) {
         let mut cx = Context {
             now: self.now,
+            suspects: &mut self.suspects,
+            limits: &mut self.limits,
             upstreams: &mut self.upstreams,
             budgets: &mut self.budgets,
             rng: &mut self.rng,
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -1,9 +1,12 @@
 //! Numbers that identify things or order their versions.
 
 use std::fmt;
+use std::hash::Hasher;
 use std::str::FromStr;
 
-use super::ParseError;
+use siphasher::sip::SipHasher13;
+
+use super::{ClassName, ParseError};
 
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $inner:ty, $what:literal) => {
@@ -54,6 +57,38 @@
     Revision, u64, "a revision"
 }
 
+/// What a request is, whoever sends it: equal for equal classes and bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// The fingerprint of a body that is sent in a class.
+    #[must_use]
+    pub fn of(class: &ClassName, body: &[u8]) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(class.as_str().as_bytes());
+        hasher.write_u8(0);
+        hasher.write(body);
+        Self(hasher.finish())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u64::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("a fingerprint", text, "it is not a hexadecimal number"))
+    }
+}
+
 /// One request of one caller, unique over all instances.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct QueryId(pub u128);
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -14,7 +14,9 @@
 #[cfg(test)]
 mod types_tests;
 
-pub use id::{ConfigVersion, LegId, ObjectVersion, QueryId, Revision, ShardId, SnapshotId};
+pub use id::{
+    ConfigVersion, Fingerprint, LegId, ObjectVersion, QueryId, Revision, ShardId, SnapshotId,
+};
 pub use key::{Coverage, KeyRange};
 pub use name::{
     CallerName, ClassName, FailureDomain, IdempotencyKey, IndexName, InstanceName, Region,
