Add a fake of the platform for unit tests

The trait had one implementation, over HTTP, so a test of whatever is kept in the platform had to start a stand-in. The fake holds versions, conditional writes, watches, a compacted history and the faults: an outage, shed calls, lost replies, lost writes, rival writes and ended watches. A write that the platform rejects now has a kind of its own, and PlatformError says whether a failed write had no effect.

--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -4,6 +4,10 @@
 mod http;
 mod wire;
 
+#[cfg(test)]
+#[allow(dead_code, reason = "each test uses a part of the fake")]
+pub(crate) mod fake;
+
 pub use http::HttpPlatform;
 
 use std::fmt;
@@ -117,6 +121,9 @@
     /// The platform refused because of its load; the call had no effect.
     #[error("the platform sheds load")]
     Busy,
+    /// The platform does not take such a call; it had no effect.
+    #[error("the platform rejects the call: {0}")]
+    Rejected(String),
     /// No connection could be made; the call had no effect.
     #[error("could not reach the platform: {0}")]
     Unreachable(String),
@@ -128,6 +135,23 @@
     Protocol(String),
 }
 
+impl PlatformError {
+    /// Whether a write that failed so is known to have had no effect. After any other
+    /// error its sender has to read back what is true.
+    #[must_use]
+    pub fn had_no_effect(&self) -> bool {
+        match self {
+            Self::Conflict
+            | Self::Compacted
+            | Self::TooLarge
+            | Self::Busy
+            | Self::Rejected(_)
+            | Self::Unreachable(_) => true,
+            Self::Unsettled(_) | Self::Protocol(_) => false,
+        }
+    }
+}
+
 /// The platform's object API.
 pub trait Platform: fmt::Debug + Send + Sync {
     /// The instances that the platform believes are there.
