--- /dev/null
+++ b/examples/model/baseline.rs
@@ -0,0 +1,180 @@
+//! The baselines: a replica at random for each shard, one retry on a failure, and
+//! either no hedge or a hedge after a fixed time, without a budget.
+
+use std::sync::Arc;
+
+use hyssopwalk::{
+    Action, Answer, Coverage, Event, LegId, LegRequest, Part, QueryId, Snapshot, Span, Timestamp,
+    UpstreamName,
+};
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+/// One query of a baseline.
+#[derive(Debug)]
+pub(crate) struct Baseline {
+    id: QueryId,
+    snapshot: Arc<Snapshot>,
+    started: Timestamp,
+    deadline: Timestamp,
+    hedge_after: Option<Span>,
+    legs: Vec<BaselineLeg>,
+    parts: Vec<bool>,
+    finished: bool,
+}
+
+#[derive(Debug)]
+struct BaselineLeg {
+    shard_at: usize,
+    upstream: UpstreamName,
+    under_way: bool,
+}
+
+impl Baseline {
+    pub(crate) fn new(
+        id: QueryId,
+        snapshot: Arc<Snapshot>,
+        started: Timestamp,
+        deadline: Timestamp,
+        hedge_after: Option<Span>,
+    ) -> Self {
+        let parts = vec![false; snapshot.shards.len()];
+        Self {
+            id,
+            snapshot,
+            started,
+            deadline,
+            hedge_after,
+            legs: Vec::new(),
+            parts,
+            finished: false,
+        }
+    }
+
+    pub(crate) fn start(&mut self, now: Timestamp, rng: &mut SmallRng) -> Vec<Action> {
+        let mut actions = vec![Action::WakeAt(self.deadline)];
+        actions.extend(self.hedge_after.map(|after| Action::WakeAt(now + after)));
+        for shard_at in 0..self.parts.len() {
+            self.send(now, shard_at, rng, &mut actions);
+        }
+        actions
+    }
+
+    pub(crate) fn on_event(
+        &mut self,
+        now: Timestamp,
+        event: &Event,
+        rng: &mut SmallRng,
+    ) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if self.finished {
+            return actions;
+        }
+        match event {
+            Event::Reply(leg, _) => self.on_reply(*leg, &mut actions),
+            Event::Failure(leg, _) => {
+                let shard_at = self.legs[leg.0 as usize].shard_at;
+                self.legs[leg.0 as usize].under_way = false;
+                self.send(now, shard_at, rng, &mut actions);
+            }
+            Event::Wake if now < self.deadline => self.hedge(now, rng, &mut actions),
+            _ => {}
+        }
+        if self.parts.iter().all(|part| *part) || now >= self.deadline {
+            self.finish(now, &mut actions);
+        }
+        actions
+    }
+
+    fn on_reply(&mut self, leg: LegId, actions: &mut Vec<Action>) {
+        let shard_at = self.legs[leg.0 as usize].shard_at;
+        self.legs[leg.0 as usize].under_way = false;
+        self.parts[shard_at] = true;
+        self.cancel(Some(shard_at), actions);
+    }
+
+    fn hedge(&mut self, now: Timestamp, rng: &mut SmallRng, actions: &mut Vec<Action>) {
+        for shard_at in 0..self.parts.len() {
+            if !self.parts[shard_at] {
+                self.send(now, shard_at, rng, actions);
+            }
+        }
+    }
+
+    fn send(
+        &mut self,
+        now: Timestamp,
+        shard_at: usize,
+        rng: &mut SmallRng,
+        actions: &mut Vec<Action>,
+    ) {
+        let shard = &self.snapshot.shards[shard_at];
+        let tried: Vec<_> = self
+            .legs
+            .iter()
+            .filter(|leg| leg.shard_at == shard_at)
+            .collect();
+        let untried: Vec<_> = shard
+            .replicas
+            .iter()
+            .filter(|spec| !tried.iter().any(|leg| leg.upstream == spec.name))
+            .collect();
+        if untried.is_empty() {
+            return;
+        }
+        let upstream = Arc::clone(untried[rng.random_range(0..untried.len())]);
+        let leg = LegId(u32::try_from(self.legs.len()).expect("few legs"));
+        self.legs.push(BaselineLeg {
+            shard_at,
+            upstream: upstream.name.clone(),
+            under_way: true,
+        });
+        actions.push(Action::Send(LegRequest {
+            query: self.id,
+            leg,
+            upstream,
+            snapshot: self.snapshot.id,
+            shard: shard.id,
+            range: shard.range,
+            time_left: self.deadline.since(now),
+            body: Arc::from(&b""[..]),
+        }));
+    }
+
+    fn cancel(&mut self, shard_at: Option<usize>, actions: &mut Vec<Action>) {
+        for (id, leg) in (0..).zip(&mut self.legs) {
+            if leg.under_way && shard_at.is_none_or(|shard_at| shard_at == leg.shard_at) {
+                leg.under_way = false;
+                actions.push(Action::Cancel(LegId(id)));
+            }
+        }
+    }
+
+    fn finish(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.finished = true;
+        self.cancel(None, actions);
+        let replied = self
+            .snapshot
+            .shards
+            .iter()
+            .zip(&self.parts)
+            .filter(|(_, part)| **part);
+        let parts: Vec<Part> = replied
+            .map(|(shard, _)| Part {
+                shard: shard.id,
+                range: shard.range,
+                body: Vec::new(),
+            })
+            .collect();
+        let coverage: Coverage = parts.iter().map(|part| part.range).collect();
+        actions.push(Action::Finish(Ok(Answer {
+            query: self.id,
+            snapshot: self.snapshot.id,
+            meets_target: coverage.is_complete(),
+            coverage,
+            parts,
+            legs: u32::try_from(self.legs.len()).expect("few legs"),
+            took: now.since(self.started),
+        })));
+    }
+}
