Share slots by a window that follows the queue

Cause: the share rounded up left 81% of a replica idle when one of seven instances was busy, and gave no answer to sheds. Ruled out: slot-seconds at the part's rate (mean wait 61 ms with all busy, three of seven starved when the replica sheds); rounds of 4 replies and a bound of 0.5 legs (21% used with one busy and delay that varies, 41% now).

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -16,9 +16,16 @@
 mod tables;
 mod timer;
 mod upstreams;
+mod window;
 
+#[cfg(test)]
+mod limits_tests;
 #[cfg(test)]
 mod process_tests;
+#[cfg(test)]
+mod sharing_tests;
+#[cfg(test)]
+mod sharing_ways;
 
 pub use budget::Budgets;
 pub use limits::Limits;
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -261,8 +261,9 @@
 
     fn end_leg(&mut self, cx: &mut Context<'_>, id: LegId, end: LegEnd) -> Option<Leg> {
         let leg = self.legs.shift_remove(&id)?;
-        cx.limits
-            .give(cx.now, &leg.upstream, cx.now.since(leg.sent));
+        let took = cx.now.since(leg.sent);
+        cx.limits.observe(cx.now, &leg.upstream, end, took);
+        cx.limits.give(cx.now, &leg.upstream, took);
         cx.upstreams.end(&leg.upstream, cx.now, end);
         match end {
             LegEnd::Replied => cx.suspects.replied(cx.now, self.fingerprint),
