Claim each order in the platform before it is sent

Cause: an order could run once for every repetition that reached an instance; only retries inside one query were held back.

An attempt now writes a claim of its own by conditional write, shared with all orders that wait for the same page, and sends the order only when the claim is known to be there and the page was not given up. Nobody takes a claim over. Ruled out: leases (a paused holder wakes up believing in its own), an object for each order (no bound on writes), pruning one object by age (a megabyte holds 10,000 rows), taking over the claim of a dead instance.

Before: two attempts with one key ran twice.

Conclusion: at most once rests on conditional writes and an own claim id, and on no clock or lease.

--- a/examples/guild.rs
+++ b/examples/guild.rs
@@ -8,7 +8,7 @@
 
 use clap::Parser;
 use standin::platform::Platform;
-use standin::{free_addr, guild, query, until};
+use standin::{free_addr, guild, order, order_key, query, until};
 
 #[async_std::main]
 async fn main() {
@@ -23,7 +23,8 @@
     })
     .await;
     for index in &indexes {
-        let asked = query(addr, index.name, r#"{"cloth":"masi"}"#).await;
+        let key = order_key("cover-cloth");
+        let asked = order(addr, index.name, &key, r#"{"cloth":"masi"}"#).await;
         let (status, answer) = asked.expect("the instance answers");
         println!("{}: status {status}", index.name);
         println!("  coverage {}", answer["coverage"]);
--- a/src/error.rs
+++ b/src/error.rs
@@ -78,6 +78,9 @@
     Conflict => ("conflict", 409, NotRun, true),
     /// A request with this idempotency key was already accepted.
     Duplicate => ("duplicate", 409, MayHaveRun, false),
+    /// The key's time lies outside the time for which orders are remembered, so an
+    /// earlier attempt may have run.
+    StaleKey => ("stale-key", 409, MayHaveRun, false),
     /// The request is larger than the stated limit.
     TooLarge => ("too-large", 413, NotRun, false),
     /// Targets are unknown, out of range or contradict each other.
--- a/src/error_tests.rs
+++ b/src/error_tests.rs
@@ -27,6 +27,7 @@
         ErrorKind::OutOfTime,
         ErrorKind::Unsettled,
         ErrorKind::Duplicate,
+        ErrorKind::StaleKey,
         ErrorKind::Internal,
     ];
     for kind in after_send {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,7 +27,7 @@
     ByteCount, CallerName, ClassName, ConfigVersion, ConnectionCount, Coverage, FailureDomain,
     Fingerprint, IdempotencyKey, IndexName, InstanceName, KeyRange, LegId, ObjectVersion,
     ParseError, PerSecond, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span,
-    Timestamp, UpstreamName,
+    Timestamp, UnixSeconds, UpstreamName,
 };
 pub use version::{
     Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire, Snapshot,
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -8,15 +8,19 @@
 use indexmap::IndexMap;
 use rand::RngCore;
 
+use super::orders::{Claim, OrderKey, Orders};
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
 use super::{Clock, HttpPlatform, Job, Metrics, Platform, Settings, follow, pool};
 use crate::connection::Links;
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, Inquiry, Query};
-use crate::types::{QueryId, Span};
+use crate::types::{Fingerprint, QueryId, Span, Timestamp};
+use crate::version::Class;
 
 const JOB_QUEUE: usize = 65_536;
+/// A claim may take up this part of an order's time.
+const CLAIM_PART: u64 = 2;
 const ANSWER_MARGIN: Span = Span::from_millis(2);
 
 /// Everything that lives as long as the process.
@@ -30,6 +34,7 @@
     pub(crate) jobs: Sender<Job>,
     pub(crate) metrics: Metrics,
     pub(crate) platform: Arc<dyn Platform>,
+    pub(crate) orders: Arc<Orders>,
 }
 
 impl Instance {
@@ -40,7 +45,7 @@
     pub(crate) fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let clock = Clock::new();
         let (jobs, queue) = channel::bounded(JOB_QUEUE);
-        let platform = HttpPlatform::new(settings.platform);
+        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(settings.platform));
         let workers = settings.workers;
         let instance = Arc::new(Self {
             settings,
@@ -50,10 +55,12 @@
             links: Links::new(),
             jobs,
             metrics: Metrics::new()?,
-            platform: Arc::new(platform),
+            orders: Orders::new(Arc::clone(&platform), clock),
+            platform,
         });
         pool::spawn(&instance, &queue, workers)?;
         instance.timer.spawn(clock, instance.jobs.clone())?;
+        instance.orders.start();
         async_std::task::spawn(follow::follow(Arc::clone(&instance)));
         Ok(instance)
     }
@@ -83,7 +90,37 @@
         inquiry: Inquiry,
         gone: impl Future<Output = ()> + Unpin,
     ) -> Result<Answer, Refusal> {
-        let (id, answer) = self.admit(inquiry)?;
+        let started = self.clock.now();
+        let mut claim = self.claim(&inquiry, started).await?;
+        let (id, answer) = self.admit(inquiry, started)?;
+        if let Some(claim) = &mut claim {
+            claim.begin();
+        }
+        let outcome = self.run(id, answer, gone).await;
+        if let Some(claim) = claim {
+            claim.close(&outcome);
+        }
+        outcome
+    }
+
+    /// Claims an order for this attempt; a repeatable request needs no claim.
+    async fn claim(&self, inquiry: &Inquiry, started: Timestamp) -> Result<Option<Claim>, Refusal> {
+        let class = self.tables.directory().class(&inquiry.class)?;
+        if class.targets.repeatable {
+            return Ok(None);
+        }
+        let key = OrderKey::of(inquiry)?;
+        let body = Fingerprint::of(&class.name, &inquiry.body);
+        let until = started + Span(timeout(inquiry, &class).0 / CLAIM_PART);
+        self.orders.claim(key, body, until).await.map(Some)
+    }
+
+    async fn run(
+        &self,
+        id: QueryId,
+        answer: impl Future<Output = Outcome> + Unpin,
+        gone: impl Future<Output = ()> + Unpin,
+    ) -> Result<Answer, Refusal> {
         self.jobs
             .send(Job::Start(id))
             .await
@@ -103,20 +140,22 @@
     fn admit(
         &self,
         inquiry: Inquiry,
+        started: Timestamp,
     ) -> Result<(QueryId, impl Future<Output = Outcome> + Unpin + use<>), Refusal> {
         let directory = self.tables.directory();
         let class = directory.class(&inquiry.class)?;
         let snapshot = directory.newest(&class.index)?;
         let id =
             QueryId(u128::from(rand::rng().next_u64()) << 64 | u128::from(rand::rng().next_u64()));
-        let now = self.clock.now();
-        let timeout = inquiry
-            .timeout
-            .unwrap_or(class.targets.latency)
-            .min(class.targets.latency);
-        let deadline = now + timeout - ANSWER_MARGIN;
+        let deadline = started + timeout(&inquiry, &class) - ANSWER_MARGIN;
+        if self.clock.now() >= deadline {
+            return Err(Refusal::new(
+                ErrorKind::CannotFinish,
+                "the time ran out before the request was begun",
+            ));
+        }
         let (reply, answer) = channel::bounded(1);
-        let query = Query::new(id, class, snapshot, inquiry.body, now, deadline);
+        let query = Query::new(id, class, snapshot, inquiry.body, started, deadline);
         self.tables.insert(
             id,
             EntryState {
@@ -131,6 +170,12 @@
 
 type Outcome = Result<Result<Answer, Refusal>, channel::RecvError>;
 
+/// The time that the caller or the class allows, whichever is less.
+fn timeout(inquiry: &Inquiry, class: &Class) -> Span {
+    let target = class.targets.latency;
+    inquiry.timeout.unwrap_or(target).min(target)
+}
+
 fn stopping() -> Refusal {
     Refusal::new(
         ErrorKind::Internal,
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -30,6 +30,10 @@
     Upstreams,
     /// The source of randomness.
     Random,
+    /// The orders that wait for their page to be written.
+    Lanes,
+    /// The writes that the ledger of orders may make.
+    Tokens,
     /// The connections to upstreams.
     Links,
     /// One connection.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod lock;
 mod metrics;
+mod orders;
 mod platform;
 mod pool;
 mod settings;
--- /dev/null
+++ b/src/process/orders/orders_tests.rs
@@ -0,0 +1,232 @@
+//! Orders of two instances over one platform with its faults.
+
+use std::sync::Arc;
+
+use async_std::future::timeout;
+use rstest::rstest;
+
+use super::id::RETENTION_SECS;
+use super::tokens::Tokens;
+use super::{Claim, OrderKey, Orders};
+use crate::error::{ErrorKind, Refusal};
+use crate::process::Clock;
+use crate::process::platform::fake::{FakeFaults, FakePlatform};
+use crate::request::Inquiry;
+use crate::types::{Fingerprint, PerSecond, Span, Timestamp, UnixSeconds};
+
+const BODY: Fingerprint = Fingerprint(1);
+const LONG: Span = Span::from_secs(20);
+const SHORT: Span = Span::from_millis(50);
+
+struct Fleet {
+    platform: Arc<FakePlatform>,
+    instances: [Arc<Orders>; 2],
+}
+
+impl Fleet {
+    fn new() -> Self {
+        let platform = Arc::new(FakePlatform::default());
+        let instances = [(); 2].map(|()| Orders::new(platform.clone(), Clock::new()));
+        Self {
+            platform,
+            instances,
+        }
+    }
+
+    async fn claim(&self, at: usize, key: OrderKey, within: Span) -> Result<Claim, Refusal> {
+        let orders = &self.instances[at];
+        let until = orders.clock.now() + within;
+        orders.claim(key, BODY, until).await
+    }
+
+    /// Claims as soon as an earlier claim is released, which is to happen.
+    async fn claim_after_release(&self, at: usize, key: OrderKey) -> Claim {
+        let released = async {
+            loop {
+                if let Ok(claim) = self.claim(at, key, LONG).await {
+                    return claim;
+                }
+            }
+        };
+        timeout(LONG.as_duration(), released)
+            .await
+            .expect("the claim is released")
+    }
+}
+
+fn inquiry(key: Option<&str>) -> Inquiry {
+    Inquiry {
+        caller: "suva".parse().unwrap(),
+        class: "order-desk".parse().unwrap(),
+        body: Arc::from(&b"album"[..]),
+        timeout: None,
+        key: key.map(|key| key.parse().unwrap()),
+    }
+}
+
+fn key_sent(at: UnixSeconds) -> OrderKey {
+    OrderKey::of(&inquiry(Some(&format!("{at}:job-1")))).unwrap()
+}
+
+fn key() -> OrderKey {
+    key_sent(Clock::new().wall())
+}
+
+fn kind(claim: Result<Claim, Refusal>) -> Option<ErrorKind> {
+    claim.err().map(|refusal| refusal.kind)
+}
+
+struct Fault {
+    change: fn(&mut FakeFaults),
+}
+
+#[rstest]
+#[case::none(Fault { change: |_| {} })]
+#[case::reply_lost(Fault { change: |faults| faults.lose_replies = 1 })]
+#[case::replies_lost(Fault { change: |faults| faults.lose_replies = 3 })]
+#[case::write_lost(Fault { change: |faults| faults.lose_writes = 1 })]
+#[case::shed(Fault { change: |faults| faults.busy = 2 })]
+#[async_std::test]
+async fn a_claim_survives_the_platform_and_is_not_given_twice(#[case] fault: Fault) {
+    let fleet = Fleet::new();
+    fleet.platform.faults(fault.change);
+    let key = key();
+    let mut claim = fleet.claim(0, key, LONG).await.unwrap();
+    claim.begin();
+    for at in [0, 1] {
+        let repeated = fleet.claim(at, key, LONG).await;
+        assert_eq!(kind(repeated), Some(ErrorKind::Duplicate));
+    }
+}
+
+#[async_std::test]
+async fn of_many_attempts_at_once_one_holds_the_order() {
+    let fleet = Fleet::new();
+    let key = key();
+    let attempts = (0..20).map(|at| fleet.claim(at % 2, key, LONG));
+    let claims = futures::future::join_all(attempts).await;
+    let kinds: Vec<_> = claims.into_iter().map(kind).collect();
+    let held = kinds.iter().filter(|kind| kind.is_none()).count();
+    assert_eq!(held, 1, "{kinds:?}");
+}
+
+#[async_std::test]
+async fn an_outage_refuses_the_order_and_leaves_nothing_behind() {
+    let fleet = Fleet::new();
+    let key = key();
+    fleet.platform.faults(|faults| faults.down = true);
+    let refused = fleet.claim(0, key, SHORT).await;
+    assert_eq!(kind(refused), Some(ErrorKind::PlatformDown));
+    fleet.platform.faults(|faults| faults.down = false);
+    assert_eq!(kind(fleet.claim(1, key, LONG).await), None);
+}
+
+#[async_std::test]
+async fn a_claim_of_unknown_fate_is_removed_when_its_time_is_over() {
+    let fleet = Fleet::new();
+    let key = key();
+    fleet.platform.faults(|faults| faults.lose_writes = 1_000);
+    let refused = fleet.claim(0, key, SHORT).await;
+    assert_eq!(kind(refused), Some(ErrorKind::PlatformDown));
+    fleet.platform.faults(|faults| faults.lose_writes = 0);
+    fleet.claim_after_release(1, key).await;
+}
+
+enum Ending {
+    Dropped,
+    DroppedAfterBegin,
+    Refused(ErrorKind),
+}
+
+struct Close {
+    ending: Ending,
+    claimed_again: bool,
+}
+
+#[rstest]
+#[case::never_begun(Close { ending: Ending::Dropped, claimed_again: true })]
+#[case::abandoned(Close { ending: Ending::DroppedAfterBegin, claimed_again: false })]
+#[case::not_run(Close { ending: Ending::Refused(ErrorKind::NoUpstream), claimed_again: true })]
+#[case::may_have_run(Close {
+    ending: Ending::Refused(ErrorKind::UpstreamFailed),
+    claimed_again: false,
+})]
+#[async_std::test]
+async fn a_claim_is_released_only_when_its_order_did_not_run(#[case] close: Close) {
+    let fleet = Fleet::new();
+    let key = key();
+    let mut claim = fleet.claim(0, key, LONG).await.unwrap();
+    match close.ending {
+        Ending::Dropped => drop(claim),
+        Ending::DroppedAfterBegin => {
+            claim.begin();
+            drop(claim);
+        }
+        Ending::Refused(kind) => {
+            claim.begin();
+            claim.close(&Err(Refusal::new(kind, "")));
+        }
+    }
+    if close.claimed_again {
+        fleet.claim_after_release(1, key).await;
+    } else {
+        let repeated = fleet.claim(1, key, LONG).await;
+        assert_eq!(kind(repeated), Some(ErrorKind::Duplicate));
+    }
+}
+
+struct Key {
+    text: Option<&'static str>,
+    refused: ErrorKind,
+}
+
+#[rstest]
+#[case::missing(Key { text: None, refused: ErrorKind::BadRequest })]
+#[case::no_time(Key { text: Some("job-1"), refused: ErrorKind::BadRequest })]
+#[case::no_name(Key { text: Some("1796382000:"), refused: ErrorKind::BadRequest })]
+#[case::not_a_time(Key { text: Some("now:job-1"), refused: ErrorKind::BadRequest })]
+#[case::old(Key { text: Some("1000:job-1"), refused: ErrorKind::StaleKey })]
+#[case::ahead(Key { text: Some("99999999999:job-1"), refused: ErrorKind::StaleKey })]
+fn a_key_states_when_its_order_was_first_sent(#[case] case: Key) {
+    let checked = OrderKey::of(&inquiry(case.text)).and_then(|key| key.check(Clock::new().wall()));
+    assert_eq!(checked.unwrap_err().kind, case.refused);
+}
+
+#[async_std::test]
+async fn an_instance_whose_clock_lags_cannot_claim_what_was_swept() {
+    let fleet = Fleet::new();
+    let [lagging, sweeper] = &fleet.instances;
+    let now = Clock::new().wall();
+    sweeper.sweep(now).await.unwrap();
+    let key = key_sent(now);
+    fleet.claim(0, key, LONG).await.unwrap().begin();
+    let page = key.page().key();
+    assert!(fleet.platform.value(page.as_str()).is_some());
+
+    let mut later = now;
+    for _ in 0..10 {
+        later = UnixSeconds(later.0 + RETENTION_SECS);
+        sweeper.sweep(later).await.unwrap();
+    }
+    assert!(fleet.platform.value(page.as_str()).is_none());
+    assert!(key.check(lagging.clock.wall()).is_ok(), "the clock lags");
+    let repeated = fleet.claim(0, key, LONG).await;
+    assert_eq!(kind(repeated), Some(ErrorKind::StaleKey));
+}
+
+#[test]
+fn writes_stay_under_their_rate_however_often_they_are_asked_for() {
+    const SECONDS: u64 = 100;
+    let rate = PerSecond(200.0 / 7.0);
+    let mut tokens = Tokens::new(Timestamp(0));
+    let mut now = Timestamp(0);
+    let mut writes = 0.0;
+    while now < Timestamp(0) + Span::from_secs(SECONDS) {
+        match tokens.take(now, rate) {
+            Ok(()) => writes += 1.0,
+            Err(wait) => now = now + wait.max(Span(1)),
+        }
+    }
+    let burst = 8.0;
+    assert!(writes <= rate.0 * 100.0 + burst + 1.0, "{writes} writes");
+}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -24,7 +24,7 @@
 };
 pub use rate::{PerSecond, Ratio};
 pub use size::{ByteCount, ConnectionCount, SlotCount};
-pub use time::{Span, Timestamp};
+pub use time::{Span, Timestamp, UnixSeconds};
 
 /// Why a text is not a valid value of one of these types.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/src/types/time.rs
+++ b/src/types/time.rs
@@ -18,6 +18,11 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Span(pub u64);
 
+/// Seconds since 1970 by the clock of whoever states them; no clock is trusted to be
+/// right, so nothing that must hold may rest on comparing two of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct UnixSeconds(pub u64);
+
 impl Timestamp {
     /// How long ago `earlier` was; zero when it lies ahead.
     #[must_use]
@@ -87,6 +92,26 @@
     }
 }
 
+impl fmt::Display for UnixSeconds {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for UnixSeconds {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        text.parse().map(Self).map_err(|_| {
+            ParseError::new(
+                "a time in seconds",
+                text,
+                "it is not a whole number in range",
+            )
+        })
+    }
+}
+
 impl fmt::Display for Span {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if self.0.is_multiple_of(Self::MICROS_PER_SECOND) {
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -10,7 +10,7 @@
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use async_std::net::{TcpListener, TcpStream};
 use serde_json::Value;
@@ -46,6 +46,24 @@
     let url = format!("http://{addr}/v1/classes/{class}/query");
     let mut req = Request::post(url.as_str());
     req.set_body(body);
+    read(req).await
+}
+
+/// Sends an order with its key.
+pub(crate) async fn order(
+    addr: SocketAddr,
+    class: &str,
+    key: &str,
+    body: &str,
+) -> std::io::Result<(u16, Value)> {
+    let url = format!("http://{addr}/v1/classes/{class}/query");
+    let mut req = Request::post(url.as_str());
+    req.insert_header("idempotency-key", key);
+    req.set_body(body);
+    read(req).await
+}
+
+async fn read(req: Request) -> std::io::Result<(u16, Value)> {
     let mut res = send(req).await?;
     let value = res
         .body_json()
@@ -54,6 +72,12 @@
     Ok((res.status().into(), value))
 }
 
+/// A key for an order that is first sent now.
+pub(crate) fn order_key(name: &str) -> String {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    format!("{}:{name}", since.expect("a time after 1970").as_secs())
+}
+
 /// Waits until `ready` says so, for at most ten seconds.
 pub(crate) async fn until<F, Fut>(what: &str, mut ready: F)
 where
