Load running instances open-loop with the load subcommand

Cause: nothing measured a running instance from its callers' side. Arrivals are a seeded Poisson process that slow answers do not hold back, and latencies count from the planned time, so coordinated omission is excluded.

--- a/examples/guild.rs
+++ b/examples/guild.rs
@@ -1,5 +1,8 @@
 //! Runs an instance over stand-ins at the Guild's sizes and prints one answer with
 //! its coverage. The instance is the one that `hyssopwalk serve` runs.
+//!
+//! `cargo run --release --example guild -- 127.0.0.1:7400 60s` listens there and stays
+//! for that long, so that `hyssopwalk load` has something to load.
 
 #[path = "../tests/standin/mod.rs"]
 mod standin;
@@ -7,6 +10,7 @@
 use std::net::SocketAddr;
 
 use clap::Parser;
+use hyssopwalk::Span;
 use standin::platform::Platform;
 use standin::{free_addr, guild, order, order_key, query, until};
 
@@ -14,7 +18,14 @@
 async fn main() {
     let platform = Platform::start().await;
     let indexes = guild::start(&platform, &guild::SIZES).await;
-    let addr = free_addr().await;
+    let mut args = std::env::args().skip(1);
+    let addr = match args.next() {
+        Some(text) => text.parse().expect("an address such as 127.0.0.1:7400"),
+        None => free_addr().await,
+    };
+    let stay: Span = args
+        .next()
+        .map_or(Span::ZERO, |text| text.parse().expect("a span such as 60s"));
     serve(addr, platform.addr);
     until("the instance to be ready", || async {
         query(addr, "pattern-finder", "{}")
@@ -34,6 +45,7 @@
         );
         println!("  first part {}", answer["parts"][0]);
     }
+    async_std::task::sleep(stay.as_duration()).await;
 }
 
 fn serve(listen: SocketAddr, platform: SocketAddr) {
--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -1,12 +1,13 @@
 //! The types of the command line and the environment.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
 
 use crate::process::Settings;
-use crate::types::{ByteCount, FailureDomain, InstanceName, Region};
+use crate::types::{ByteCount, ClassName, FailureDomain, InstanceName, PerSecond, Region, Span};
 
 /// A query tier over many shards.
 #[derive(Clone, Debug)]
@@ -22,6 +23,8 @@
 enum Sub {
     /// Run an instance.
     Serve(ServeArgs),
+    /// Load running instances open-loop and report what callers saw.
+    Load(LoadArgs),
 }
 
 /// The settings of an instance.
@@ -51,12 +54,52 @@
     pub(crate) most_body: ByteCount,
 }
 
+/// What to load instances with.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub struct LoadArgs {
+    /// An instance's address; give several to spread callers over them.
+    #[arg(long, required = true)]
+    pub(crate) instance: Vec<SocketAddr>,
+    /// The class of every request.
+    #[arg(long)]
+    pub(crate) class: ClassName,
+    /// The body of every request.
+    #[arg(long, default_value = "{}")]
+    pub(crate) body: String,
+    /// Arrivals a second, all callers together.
+    #[arg(long, default_value = "100/s")]
+    pub(crate) rate: PerSecond,
+    /// How long requests arrive.
+    #[arg(long = "for", default_value = "10s")]
+    pub(crate) duration: Span,
+    /// Connections, each carrying one request at a time.
+    #[arg(long, default_value_t = 64)]
+    pub(crate) callers: usize,
+    /// Answers that take longer count as late.
+    #[arg(long, default_value = "170ms")]
+    pub(crate) target: Span,
+    /// The seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// Send each request with an idempotency key of its own.
+    #[arg(long)]
+    pub(crate) orders: bool,
+    /// Print the report as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+    /// Write a plot of latency over quantiles to this file, as SVG.
+    #[arg(long)]
+    pub(crate) plot: Option<PathBuf>,
+}
+
 impl Cmd {
     /// Runs the subcommand and says how it went.
     #[must_use]
     pub fn run(self) -> ExitCode {
         let ran = match self.command {
             Sub::Serve(args) => args.run(),
+            Sub::Load(args) => args.run(),
         };
         match ran {
             Ok(code) => code,
--- /dev/null
+++ b/src/cmd/load/load_tests.rs
@@ -0,0 +1,105 @@
+//! The plan keeps its rate, the tally counts each request once, and the plot draws.
+
+use rstest::rstest;
+
+use super::caller::{Outcome, Seen};
+use super::legs::Legs;
+use super::plan::Plan;
+use super::plot;
+use super::tally::Tally;
+use crate::types::{PerSecond, Ratio, Span};
+
+const TARGET: Span = Span::from_millis(170);
+
+fn answer(millis: u64, ppm: u32) -> Seen {
+    let coverage = Ratio::from_ppm(ppm);
+    let meets_target = coverage == Ratio::ONE;
+    let outcome = Outcome::Answer {
+        meets_target,
+        coverage,
+        shards: 20,
+        legs: 21,
+    };
+    Seen {
+        took: Span::from_millis(millis),
+        outcome,
+    }
+}
+
+#[test]
+fn arrivals_keep_the_rate_and_repeat_with_the_seed() {
+    let plan = || Plan::new(PerSecond(1_000.0), Span::from_secs(10), 7);
+    let arrivals: Vec<Span> = plan().collect();
+    assert!(
+        (9_700..10_300).contains(&arrivals.len()),
+        "{}",
+        arrivals.len()
+    );
+    assert!(arrivals.is_sorted());
+    assert!(plan().eq(arrivals));
+}
+
+struct Case {
+    seen: Seen,
+    counts: [u64; 5],
+}
+
+#[rstest]
+#[case::in_time(Case { seen: answer(170, 1_000_000), counts: [1, 0, 0, 0, 0] })]
+#[case::late(Case { seen: answer(171, 1_000_000), counts: [0, 1, 0, 0, 0] })]
+#[case::incomplete(Case { seen: answer(10, 950_000), counts: [0, 0, 1, 0, 0] })]
+#[case::refused(Case {
+    seen: Seen { took: TARGET, outcome: Outcome::Refused { kind: "overloaded".to_owned() } },
+    counts: [0, 0, 0, 1, 0],
+})]
+#[case::broken(Case {
+    seen: Seen { took: TARGET, outcome: Outcome::Broken },
+    counts: [0, 0, 0, 0, 1],
+})]
+fn each_request_is_counted_once(#[case] case: Case) {
+    let mut tally = Tally::new(TARGET);
+    tally.note(&case.seen);
+    let refused = tally.refused.values().sum();
+    let counts = [
+        tally.finished,
+        tally.late,
+        tally.incomplete,
+        refused,
+        tally.broken,
+    ];
+    assert_eq!(counts, case.counts);
+    assert_eq!(tally.asked, 1);
+}
+
+#[test]
+fn extra_load_is_what_legs_exceed_parts() {
+    let mut tally = Tally::new(TARGET);
+    tally.note(&answer(10, 1_000_000));
+    assert_eq!(tally.extra_load().ppm(), 50_000);
+}
+
+#[test]
+fn legs_are_read_from_metrics_and_subtracted() {
+    let text = |legs: u64| {
+        format!(
+            "# TYPE hyssopwalk_legs_total counter\n\
+             hyssopwalk_legs_total{{otel_scope_name=\"h\",upstream=\"a-1\"}} {legs}\n\
+             hyssopwalk_leg_failures_total{{upstream=\"a-1\"}} 9\n"
+        )
+    };
+    let (mut before, mut after) = (Legs::default(), Legs::default());
+    before.add(&text(5));
+    after.add(&text(12));
+    assert_eq!(after.since(&before).by_upstream.get("a-1"), Some(&7));
+}
+
+#[test]
+fn the_plot_shows_the_latency_and_the_target() {
+    let mut tally = Tally::new(TARGET);
+    for millis in 1..200 {
+        tally.note(&answer(millis, 1_000_000));
+    }
+    let svg = plot::draw(&tally, TARGET).unwrap();
+    assert!(svg.matches("<polyline").count() >= 2, "{svg}");
+    assert!(svg.contains("latency in ms"));
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,7 @@
 mod types;
 mod version;
 
-pub use cmd::{Cmd, ServeArgs};
+pub use cmd::{Cmd, LoadArgs, ServeArgs};
 pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
