--- a/tests/path.rs
+++ b/tests/path.rs
@@ -3,49 +3,11 @@
 mod standin;
 
 use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
 
+use standin::instance::Instance;
 use standin::platform::Platform;
 use standin::upstream::Mode;
-use standin::{free_addr, guild, query, until};
-
-struct Instance {
-    child: Child,
-    addr: SocketAddr,
-}
-
-impl Instance {
-    async fn start(platform: &Platform) -> Self {
-        let addr = free_addr().await;
-        let child = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"))
-            .args([
-                "serve",
-                "--name",
-                "one",
-                "--failure-domain",
-                "suva-a",
-                "--region",
-                "central",
-            ])
-            .args([
-                "--listen",
-                &addr.to_string(),
-                "--platform",
-                &platform.addr.to_string(),
-            ])
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("the binary starts");
-        Self { child, addr }
-    }
-}
-
-impl Drop for Instance {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-}
+use standin::{guild, query, until};
 
 async fn ready(addr: SocketAddr, class: &str) {
     until("a first answer", || async {
@@ -60,7 +22,7 @@
 async fn a_query_reaches_every_shard_of_the_guild() {
     let platform = Platform::start().await;
     let indexes = guild::start(&platform, &guild::SIZES[..1]).await;
-    let instance = Instance::start(&platform).await;
+    let instance = Instance::start("one", &platform).await;
     ready(instance.addr, "pattern-finder").await;
 
     let (status, answer) = query(instance.addr, "pattern-finder", "{}").await.unwrap();
@@ -107,7 +69,7 @@
     ];
     let platform = Platform::start().await;
     let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
-    let instance = Instance::start(&platform).await;
+    let instance = Instance::start("one", &platform).await;
     ready(instance.addr, "courier-board").await;
     for case in cases {
         let body = "x".repeat(case.body_bytes);
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -6,6 +6,7 @@
 )]
 
 pub(crate) mod guild;
+pub(crate) mod instance;
 pub(crate) mod platform;
 pub(crate) mod upstream;
 
