--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -6,7 +6,7 @@
 
 use clap::{Args, Parser, Subcommand};
 
-use crate::process::Settings;
+use crate::process::{CallRates, Settings};
 use crate::types::{ByteCount, ClassName, FailureDomain, InstanceName, PerSecond, Region, Span};
 
 /// A query tier over many shards.
@@ -40,6 +40,12 @@
     /// Where the platform's object API answers.
     #[arg(long, env = "HYSSOPWALK_PLATFORM")]
     pub(crate) platform: SocketAddr,
+    /// How many reads and watches a second the instance makes to the platform at most.
+    #[arg(long, env = "HYSSOPWALK_PLATFORM_READS", default_value = "200/s")]
+    pub(crate) platform_reads: PerSecond,
+    /// How many writes a second the instance makes to the platform at most.
+    #[arg(long, env = "HYSSOPWALK_PLATFORM_WRITES", default_value = "40/s")]
+    pub(crate) platform_writes: PerSecond,
     /// The failure domain the instance stands in.
     #[arg(long, env = "HYSSOPWALK_FAILURE_DOMAIN")]
     pub(crate) failure_domain: FailureDomain,
@@ -117,6 +123,10 @@
             name: args.name,
             listen: args.listen,
             platform: args.platform,
+            platform_rates: CallRates {
+                reads: args.platform_reads,
+                writes: args.platform_writes,
+            },
             failure_domain: args.failure_domain,
             region: args.region,
             workers: args.workers,
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{Instance, Object, PlatformError};
+use super::{Backoff, Instance, Object, PlatformError};
 use crate::types::{ConfigVersion, Revision, Span};
 use crate::version::{Class, ClassesWire, Directory, Index, IndexWire};
 
@@ -11,20 +11,24 @@
 const INDEX_PREFIX: &str = "indexes/";
 const ALL_PREFIX: &str = "";
 const WATCH_WAIT: Span = Span::from_secs(20);
-const PAUSE_AFTER_ERROR: Span = Span::from_millis(500);
+const FIRST_PAUSE: Span = Span::from_millis(100);
+const LONGEST_PAUSE: Span = Span::from_secs(1);
 
 /// Follows the platform until the process ends.
 pub(crate) async fn follow(instance: Arc<Instance>) {
+    let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     loop {
-        if let Err(error) = follow_once(&instance).await {
+        if let Err(error) = follow_once(&instance, &mut backoff).await {
             tracing::debug!(%error, "following the platform begins again");
         }
-        async_std::task::sleep(PAUSE_AFTER_ERROR.as_duration()).await;
+        let pause = backoff.pause(&mut rand::rng());
+        async_std::task::sleep(pause.as_duration()).await;
     }
 }
 
-async fn follow_once(instance: &Instance) -> Result<(), PlatformError> {
+async fn follow_once(instance: &Instance, backoff: &mut Backoff) -> Result<(), PlatformError> {
     let listing = instance.platform.list(ALL_PREFIX).await?;
+    backoff.reset();
     for object in &listing.objects {
         adopt(instance, object);
     }
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -45,7 +45,10 @@
     pub(crate) fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let clock = Clock::new();
         let (jobs, queue) = channel::bounded(JOB_QUEUE);
-        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(settings.platform));
+        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
+            settings.platform,
+            settings.platform_rates,
+        ));
         let workers = settings.workers;
         let instance = Arc::new(Self {
             settings,
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -40,6 +40,10 @@
     Link,
     /// The times at which queries are to be woken.
     Timer,
+    /// The calls that may still be made to the platform now.
+    PlatformCalls,
+    /// The connections to the platform that are kept.
+    PlatformConnections,
 }
 
 thread_local! {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -31,8 +31,8 @@
 pub use budget::Budgets;
 pub use limits::Limits;
 pub use platform::{
-    Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey, Platform,
-    PlatformError,
+    CallRates, Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey,
+    Platform, PlatformError,
 };
 pub use settings::{Settings, SettingsError};
 pub use suspects::Suspects;
@@ -43,3 +43,4 @@
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
 pub(crate) use metrics::Metrics;
+pub(crate) use platform::Backoff;
--- a/src/process/orders/orders_tests.rs
+++ b/src/process/orders/orders_tests.rs
@@ -10,7 +10,7 @@
 use super::{Claim, OrderKey, Orders};
 use crate::error::{ErrorKind, Refusal};
 use crate::process::Clock;
-use crate::process::platform::fake::{FakeFaults, FakePlatform};
+use crate::process::platform::fake::{FakePlatform, Faults};
 use crate::request::Inquiry;
 use crate::types::{Fingerprint, PerSecond, Span, Timestamp, UnixSeconds};
 
@@ -77,7 +77,7 @@
 }
 
 struct Fault {
-    change: fn(&mut FakeFaults),
+    change: fn(&mut Faults),
 }
 
 #[rstest]
--- a/src/process/platform/fake.rs
+++ b/src/process/platform/fake.rs
@@ -1,9 +1,9 @@
-//! The platform in memory, for tests of whatever is kept in it. It holds to the same
-//! contract as the client over HTTP: `tests/platform.rs` runs one set of cases on both.
+//! The platform in memory, for tests of whatever is kept in it and as the state of the
+//! stand-in that speaks HTTP. `tests/platform.rs` runs one contract on both.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
 
-use async_std::channel::{self, Sender};
+use async_std::channel;
 use futures::future::BoxFuture;
 use parking_lot::Mutex;
 use serde_json::Value;
@@ -13,6 +13,12 @@
     PlatformError, Revision, Span,
 };
 
+#[path = "fake_store.rs"]
+mod store;
+
+use store::{Call, Store, take};
+pub(crate) use store::{Calls, Faults, Rates};
+
 const MOST_VALUE_BYTES: usize = 1 << 20;
 
 /// A platform whose state is shared by whoever holds a reference.
@@ -21,43 +27,6 @@
     store: Mutex<Store>,
 }
 
-/// The faults in force; a count goes down by one with each call it befalls.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct FakeFaults {
-    /// Every call fails, and no write takes effect.
-    pub(crate) down: bool,
-    /// So many calls are shed.
-    pub(crate) busy: u32,
-    /// So many writes take effect and lose their reply.
-    pub(crate) lose_replies: u32,
-    /// So many writes are lost on the way and have no effect, which their sender cannot
-    /// tell from a lost reply.
-    pub(crate) lose_writes: u32,
-    /// So many watches end early with no change.
-    pub(crate) end_watches: u32,
-}
-
-/// How often each kind of call was made.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct FakeCalls {
-    pub(crate) reads: u64,
-    pub(crate) writes: u64,
-    pub(crate) watches: u64,
-}
-
-#[derive(Debug, Default)]
-struct Store {
-    revision: u64,
-    compacted: u64,
-    objects: BTreeMap<String, (u64, Vec<u8>)>,
-    history: Vec<(u64, String)>,
-    instances: Vec<ListedInstance>,
-    rivals: VecDeque<(String, Value)>,
-    faults: FakeFaults,
-    calls: FakeCalls,
-    waiting: Vec<Sender<()>>,
-}
-
 impl FakePlatform {
     /// Writes an object whatever it was before.
     pub(crate) fn set(&self, key: &str, value: &Value) -> ObjectVersion {
@@ -67,19 +36,31 @@
 
     /// An object's value.
     pub(crate) fn value(&self, key: &str) -> Option<Value> {
-        let store = self.store.lock();
-        let (_, bytes) = store.objects.get(key)?;
-        serde_json::from_slice(bytes).ok()
+        let object = self.store.lock().object(key)?;
+        serde_json::from_slice(&object.value).ok()
     }
 
     /// Sets the list of instances.
     pub(crate) fn list_instances(&self, instances: Vec<ListedInstance>) {
-        self.store.lock().instances = instances;
+        let mut store = self.store.lock();
+        store.instances.push((Instant::now(), instances));
+    }
+
+    /// Shows lists of instances only when they have aged by `lag`.
+    pub(crate) fn lag_instances(&self, lag: Duration) {
+        self.store.lock().instances_lag = lag;
     }
 
     /// Changes the faults in force.
-    pub(crate) fn faults(&self, change: impl FnOnce(&mut FakeFaults)) {
-        change(&mut self.store.lock().faults);
+    pub(crate) fn faults(&self, change: impl FnOnce(&mut Faults)) {
+        let mut store = self.store.lock();
+        change(&mut store.faults);
+        store.wake_watches();
+    }
+
+    /// Sheds calls above these rates; without them every call is taken.
+    pub(crate) fn limit(&self, rates: Rates) {
+        self.store.lock().rates = Some(rates);
     }
 
     /// Lets another writer set an object just before the next write arrives; further
@@ -91,166 +72,51 @@
 
     /// Forgets all changes so far, which ends older watches.
     pub(crate) fn compact(&self) {
-        let mut store = self.store.lock();
-        store.compacted = store.revision;
-        store.history.clear();
-        store.waiting.clear();
+        self.store.lock().compact();
     }
 
     /// The calls so far.
-    pub(crate) fn calls(&self) -> FakeCalls {
+    pub(crate) fn calls(&self) -> Calls {
         self.store.lock().calls
     }
 
-    fn put_now(
-        &self,
-        key: &str,
-        value: &[u8],
-        expected: Expected,
-    ) -> Result<ObjectVersion, PlatformError> {
-        if value.len() > MOST_VALUE_BYTES {
-            return Err(PlatformError::TooLarge);
-        }
-        let value: Value = serde_json::from_slice(value)
-            .map_err(|error| PlatformError::Rejected(error.to_string()))?;
-        let value = serde_json::to_vec(&value).expect("a JSON value");
-        let version = match expected {
-            Expected::Absent => None,
-            Expected::Version(version) => Some(version),
+    async fn enter(&self, call: Call) -> Result<(), PlatformError> {
+        let (entered, slow) = {
+            let mut store = self.store.lock();
+            (store.enter(call), store.faults.slow)
         };
-        self.store
-            .lock()
-            .write_if(key, Some(value), version)
-            .map(ObjectVersion)
+        async_std::task::sleep(slow).await;
+        entered
     }
 
-    /// Changes after `from`, or a receiver that is told of the next change.
-    fn changes_or_wait(
+    async fn write(
         &self,
-        prefix: &str,
-        from: Revision,
-    ) -> Result<(Changes, channel::Receiver<()>), PlatformError> {
-        let mut store = self.store.lock();
-        if store.faults.down {
-            return Err(unreachable());
-        }
-        if from.0 < store.compacted {
-            return Err(PlatformError::Compacted);
-        }
-        let (tx, rx) = channel::bounded(1);
-        let changes = store.changes(prefix, from);
-        if take(&mut store.faults.end_watches) {
-            tx.close();
-        } else if changes.changes.is_empty() {
-            store.waiting.push(tx);
-        }
-        Ok((changes, rx))
-    }
-}
-
-impl Store {
-    fn read(&mut self) -> Result<(), PlatformError> {
-        self.calls.reads += 1;
-        self.enter()
-    }
-
-    fn enter(&mut self) -> Result<(), PlatformError> {
-        if self.faults.down {
-            return Err(unreachable());
-        }
-        if take(&mut self.faults.busy) {
-            return Err(PlatformError::Busy);
-        }
-        Ok(())
-    }
-
-    fn write(&mut self, key: &str, value: Option<Vec<u8>>) -> u64 {
-        self.revision += 1;
-        self.history.push((self.revision, key.to_owned()));
-        match value {
-            Some(value) => self.objects.insert(key.to_owned(), (self.revision, value)),
-            None => self.objects.remove(key),
-        };
-        self.waiting.clear();
-        self.revision
-    }
-
-    fn write_if(
-        &mut self,
-        key: &str,
+        key: &ObjectKey,
         value: Option<Vec<u8>>,
         expected: Option<ObjectVersion>,
-    ) -> Result<u64, PlatformError> {
-        self.calls.writes += 1;
-        self.enter()?;
-        if let Some((rival_key, rival)) = self.rivals.pop_front() {
-            let bytes = serde_json::to_vec(&rival).expect("a JSON value");
-            self.write(&rival_key, Some(bytes));
-        }
-        if take(&mut self.faults.lose_writes) {
-            return Err(unsettled());
-        }
-        let found = self.objects.get(key).map(|(version, _)| *version);
-        if found != expected.map(|version| version.0) {
-            return Err(PlatformError::Conflict);
-        }
-        let version = self.write(key, value);
-        if take(&mut self.faults.lose_replies) {
-            return Err(unsettled());
-        }
-        Ok(version)
-    }
-
-    fn object(&self, key: &str) -> Option<Object> {
-        let (version, value) = self.objects.get(key)?;
-        Some(Object {
-            key: ObjectKey::new(key),
-            version: ObjectVersion(*version),
-            value: value.clone(),
-        })
-    }
-
-    fn changes(&self, prefix: &str, from: Revision) -> Changes {
-        let mut keys: Vec<&String> = Vec::new();
-        for (revision, key) in &self.history {
-            if *revision > from.0 && key.starts_with(prefix) && !keys.contains(&key) {
-                keys.push(key);
-            }
-        }
-        let changes = keys
-            .into_iter()
-            .map(|key| Change {
-                key: ObjectKey::new(key),
-                object: self.object(key),
-            })
-            .collect();
-        Changes {
-            revision: Revision(self.revision),
-            changes,
-        }
+    ) -> Result<ObjectVersion, PlatformError> {
+        key.check()?;
+        self.enter(Call::Write).await?;
+        let mut store = self.store.lock();
+        let version = store.write_if(key.as_str(), value, expected)?;
+        Ok(ObjectVersion(version))
     }
 }
 
-fn take(count: &mut u32) -> bool {
-    let any = *count > 0;
-    *count = count.saturating_sub(1);
-    any
-}
-
-fn unreachable() -> PlatformError {
-    PlatformError::Unreachable("an outage".to_owned())
-}
-
-fn unsettled() -> PlatformError {
-    PlatformError::Unsettled("a lost reply".to_owned())
+fn normalised(value: &[u8]) -> Result<Vec<u8>, PlatformError> {
+    if value.len() > MOST_VALUE_BYTES {
+        return Err(PlatformError::TooLarge);
+    }
+    let value: Value = serde_json::from_slice(value)
+        .map_err(|error| PlatformError::Rejected(error.to_string()))?;
+    Ok(serde_json::to_vec(&value).expect("a JSON value"))
 }
 
 impl Platform for FakePlatform {
     fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>> {
         Box::pin(async move {
-            let mut store = self.store.lock();
-            store.read()?;
-            Ok(store.instances.clone())
+            self.enter(Call::Read).await?;
+            Ok(self.store.lock().listed_instances())
         })
     }
 
@@ -259,22 +125,16 @@
         key: &'a ObjectKey,
     ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
         Box::pin(async move {
-            let mut store = self.store.lock();
-            store.read()?;
-            Ok(store.object(key.as_str()))
+            key.check()?;
+            self.enter(Call::Read).await?;
+            Ok(self.store.lock().object(key.as_str()))
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, PlatformError>> {
         Box::pin(async move {
-            let mut store = self.store.lock();
-            store.read()?;
-            let keys = store.objects.keys().filter(|key| key.starts_with(prefix));
-            let objects = keys.filter_map(|key| store.object(key)).collect();
-            Ok(Listing {
-                revision: Revision(store.revision),
-                objects,
-            })
+            self.enter(Call::Read).await?;
+            Ok(self.store.lock().list(prefix))
         })
     }
 
@@ -284,7 +144,14 @@
         value: Vec<u8>,
         expected: Expected,
     ) -> BoxFuture<'a, Result<ObjectVersion, PlatformError>> {
-        Box::pin(async move { self.put_now(key.as_str(), &value, expected) })
+        Box::pin(async move {
+            let value = normalised(&value)?;
+            let expected = match expected {
+                Expected::Absent => None,
+                Expected::Version(version) => Some(version),
+            };
+            self.write(key, Some(value), expected).await
+        })
     }
 
     fn delete<'a>(
@@ -292,12 +159,7 @@
         key: &'a ObjectKey,
         expected: ObjectVersion,
     ) -> BoxFuture<'a, Result<(), PlatformError>> {
-        Box::pin(async move {
-            let mut store = self.store.lock();
-            store
-                .write_if(key.as_str(), None, Some(expected))
-                .map(|_| ())
-        })
+        Box::pin(async move { self.write(key, None, Some(expected)).await.map(drop) })
     }
 
     fn watch<'a>(
@@ -307,16 +169,17 @@
         wait: Span,
     ) -> BoxFuture<'a, Result<Changes, PlatformError>> {
         Box::pin(async move {
-            {
-                let mut store = self.store.lock();
-                store.calls.watches += 1;
-                store.enter()?;
-            }
-            let until = std::time::Instant::now() + wait.as_duration();
+            self.enter(Call::Watch).await?;
+            let until = Instant::now() + wait.as_duration();
             loop {
-                let (changes, told) = self.changes_or_wait(prefix, from)?;
-                let left = until.saturating_duration_since(std::time::Instant::now());
-                if !changes.changes.is_empty() || left.is_zero() || told.is_closed() {
+                let (tx, told) = channel::bounded(1);
+                let (changes, ended) = {
+                    let mut store = self.store.lock();
+                    let changes = store.changes(prefix, from, tx)?;
+                    (changes, take(&mut store.faults.end_watches))
+                };
+                let left = until.saturating_duration_since(Instant::now());
+                if ended || left.is_zero() || !changes.changes.is_empty() {
                     return Ok(changes);
                 }
                 async_std::future::timeout(left, told.recv()).await.ok();
--- /dev/null
+++ b/src/process/platform/fake_store.rs
@@ -0,0 +1,234 @@
+//! What the fake of the platform holds: objects with versions, their history, the
+//! faults in force and the counts of calls.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+use async_std::channel::Sender;
+use serde_json::Value;
+
+use super::{Change, Changes, Object, ObjectKey, ObjectVersion, PlatformError, Revision};
+use super::{ListedInstance, Listing};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+/// The faults in force; a count goes down by one with each call it befalls.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Faults {
+    /// Every call fails, and no write takes effect.
+    pub(crate) down: bool,
+    /// Every call takes this much longer.
+    pub(crate) slow: Duration,
+    /// So many calls are shed.
+    pub(crate) busy: u32,
+    /// So many writes take effect and lose their reply.
+    pub(crate) lose_replies: u32,
+    /// So many writes are lost on the way and have no effect, which their sender cannot
+    /// tell from a lost reply.
+    pub(crate) lose_writes: u32,
+    /// So many watches end early with no change.
+    pub(crate) end_watches: u32,
+}
+
+/// How often each kind of call was made, and the most in any one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Calls {
+    pub(crate) reads: u64,
+    pub(crate) writes: u64,
+    pub(crate) watches: u64,
+    pub(crate) peak_reads: u64,
+    pub(crate) peak_writes: u64,
+}
+
+/// How many calls a second are taken before further ones are shed; a watch is a read.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rates {
+    pub(crate) reads: u64,
+    pub(crate) writes: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Call {
+    Read,
+    Write,
+    Watch,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    revision: u64,
+    compacted: u64,
+    objects: BTreeMap<String, (u64, Vec<u8>)>,
+    history: Vec<(u64, String)>,
+    pub(super) instances: Vec<(Instant, Vec<ListedInstance>)>,
+    pub(super) instances_lag: Duration,
+    pub(super) rivals: VecDeque<(String, Value)>,
+    pub(super) faults: Faults,
+    pub(super) calls: Calls,
+    pub(super) rates: Option<Rates>,
+    second: Option<(Instant, u64, u64)>,
+    waiting: Vec<Sender<()>>,
+}
+
+impl Store {
+    /// Counts a call and refuses it when a fault or the rates say so.
+    pub(super) fn enter(&mut self, call: Call) -> Result<(), PlatformError> {
+        let within = self.count(call);
+        if self.faults.down {
+            return Err(unreachable());
+        }
+        if take(&mut self.faults.busy) || !within {
+            return Err(PlatformError::Busy);
+        }
+        Ok(())
+    }
+
+    fn count(&mut self, call: Call) -> bool {
+        let now = Instant::now();
+        let (begun, mut reads, mut writes) = self
+            .second
+            .filter(|(begun, ..)| now.duration_since(*begun) < SECOND)
+            .unwrap_or((now, 0, 0));
+        match call {
+            Call::Read => self.calls.reads += 1,
+            Call::Write => self.calls.writes += 1,
+            Call::Watch => self.calls.watches += 1,
+        }
+        if call == Call::Write {
+            writes += 1;
+        } else {
+            reads += 1;
+        }
+        self.second = Some((begun, reads, writes));
+        self.calls.peak_reads = self.calls.peak_reads.max(reads);
+        self.calls.peak_writes = self.calls.peak_writes.max(writes);
+        self.rates
+            .is_none_or(|rates| reads <= rates.reads && writes <= rates.writes)
+    }
+
+    pub(super) fn write(&mut self, key: &str, value: Option<Vec<u8>>) -> u64 {
+        self.revision += 1;
+        self.history.push((self.revision, key.to_owned()));
+        match value {
+            Some(value) => self.objects.insert(key.to_owned(), (self.revision, value)),
+            None => self.objects.remove(key),
+        };
+        self.waiting.clear();
+        self.revision
+    }
+
+    pub(super) fn write_if(
+        &mut self,
+        key: &str,
+        value: Option<Vec<u8>>,
+        expected: Option<ObjectVersion>,
+    ) -> Result<u64, PlatformError> {
+        if let Some((rival_key, rival)) = self.rivals.pop_front() {
+            let bytes = serde_json::to_vec(&rival).expect("a JSON value");
+            self.write(&rival_key, Some(bytes));
+        }
+        if take(&mut self.faults.lose_writes) {
+            return Err(unsettled());
+        }
+        let found = self.objects.get(key).map(|(version, _)| *version);
+        if found != expected.map(|version| version.0) {
+            return Err(PlatformError::Conflict);
+        }
+        let version = self.write(key, value);
+        if take(&mut self.faults.lose_replies) {
+            return Err(unsettled());
+        }
+        Ok(version)
+    }
+
+    pub(super) fn object(&self, key: &str) -> Option<Object> {
+        let (version, value) = self.objects.get(key)?;
+        Some(Object {
+            key: ObjectKey::new(key),
+            version: ObjectVersion(*version),
+            value: value.clone(),
+        })
+    }
+
+    pub(super) fn list(&self, prefix: &str) -> Listing {
+        let keys = self.objects.keys().filter(|key| key.starts_with(prefix));
+        Listing {
+            revision: Revision(self.revision),
+            objects: keys.filter_map(|key| self.object(key)).collect(),
+        }
+    }
+
+    /// The list of instances as it was when it had aged by the lag.
+    pub(super) fn listed_instances(&self) -> Vec<ListedInstance> {
+        let old_enough = |since: &Instant| since.elapsed() >= self.instances_lag;
+        let listed = self.instances.iter().rev();
+        let mut listed = listed.filter(|(since, _)| old_enough(since));
+        listed
+            .next()
+            .map(|(_, list)| list.clone())
+            .unwrap_or_default()
+    }
+
+    /// The changes after `from`, or none and a sender that is dropped at the next one.
+    pub(super) fn changes(
+        &mut self,
+        prefix: &str,
+        from: Revision,
+        waiting: Sender<()>,
+    ) -> Result<Changes, PlatformError> {
+        if self.faults.down {
+            return Err(unreachable());
+        }
+        if from.0 < self.compacted {
+            return Err(PlatformError::Compacted);
+        }
+        let changes = self.changes_since(prefix, from);
+        if changes.is_empty() {
+            self.waiting.push(waiting);
+        }
+        Ok(Changes {
+            revision: Revision(self.revision),
+            changes,
+        })
+    }
+
+    fn changes_since(&self, prefix: &str, from: Revision) -> Vec<Change> {
+        let mut keys: Vec<&String> = Vec::new();
+        for (revision, key) in &self.history {
+            if *revision > from.0 && key.starts_with(prefix) && !keys.contains(&key) {
+                keys.push(key);
+            }
+        }
+        keys.into_iter()
+            .map(|key| Change {
+                key: ObjectKey::new(key),
+                object: self.object(key),
+            })
+            .collect()
+    }
+
+    pub(super) fn compact(&mut self) {
+        self.compacted = self.revision;
+        self.history.clear();
+        self.wake_watches();
+    }
+
+    pub(super) fn wake_watches(&mut self) {
+        self.waiting.clear();
+    }
+}
+
+/// Whether a fault that is counted down befalls this call.
+pub(super) fn take(count: &mut u32) -> bool {
+    let any = *count > 0;
+    *count = count.saturating_sub(1);
+    any
+}
+
+fn unreachable() -> PlatformError {
+    PlatformError::Unreachable("an outage".to_owned())
+}
+
+fn unsettled() -> PlatformError {
+    PlatformError::Unsettled("a lost reply".to_owned())
+}
--- a/src/process/platform/http.rs
+++ b/src/process/platform/http.rs
@@ -1,74 +1,128 @@
 //! The platform's object API over HTTP.
 
 use std::net::SocketAddr;
+use std::time::{Duration, Instant};
 
-use async_std::future::timeout;
-use async_std::net::TcpStream;
 use futures::future::BoxFuture;
+use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde::de::DeserializeOwned;
-use tide::http::{Method, Request, Response, StatusCode, Url};
+use tide::http::{Method, Request, StatusCode, Url};
 
+use super::call_rate::{CallBucket, CallRates};
+use super::connections::{Connections, Reply};
 use super::wire::{ChangesWire, InstancesWire, ListingWire, ObjectWire, WrittenWire};
 use super::{
     Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError,
 };
 use crate::types::{ObjectVersion, Revision, Span};
 
-const CALL_TIMEOUT: Span = Span::from_secs(2);
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+const STALE_TIMEOUT: Duration = Duration::from_millis(500);
+const IDLE_FOR_READS: Duration = Duration::from_secs(30);
+const IDLE_FOR_WRITES: Duration = Duration::from_secs(1);
 
-/// A client of the platform that makes one connection for each call.
-#[derive(Clone, Debug)]
+const IN_QUERY: &AsciiSet = &NON_ALPHANUMERIC
+    .remove(b'-')
+    .remove(b'_')
+    .remove(b'.')
+    .remove(b'~');
+const IN_PATH: &AsciiSet = &IN_QUERY.remove(b'/');
+
+/// A client of the platform that keeps its connections and its share of the rates.
+#[derive(Debug)]
 pub struct HttpPlatform {
     addr: SocketAddr,
+    connections: Connections,
+    reads: CallBucket,
+    writes: CallBucket,
 }
 
 impl HttpPlatform {
-    /// A client of the platform at `addr`.
+    /// A client of the platform at `addr` that makes at most so many calls a second.
     #[must_use]
-    pub fn new(addr: SocketAddr) -> Self {
-        Self { addr }
+    pub fn new(addr: SocketAddr, rates: CallRates) -> Self {
+        Self {
+            addr,
+            connections: Connections::new(addr),
+            reads: CallBucket::new(rates.reads),
+            writes: CallBucket::new(rates.writes),
+        }
     }
 
     fn request(&self, method: Method, path: &str) -> Result<Request, PlatformError> {
         let text = format!("http://{}{path}", self.addr);
-        let url = Url::parse(&text).map_err(|error| PlatformError::Protocol(error.to_string()))?;
+        let url = Url::parse(&text).map_err(|error| PlatformError::Rejected(error.to_string()))?;
         Ok(Request::new(method, url))
     }
 
-    async fn call(&self, req: Request, within: Span) -> Result<Response, PlatformError> {
-        let stream = timeout(within.as_duration(), TcpStream::connect(self.addr))
+    fn object_request(&self, method: Method, key: &ObjectKey) -> Result<Request, PlatformError> {
+        key.check()?;
+        let key = utf8_percent_encode(key.as_str(), IN_PATH);
+        self.request(method, &format!("/v1/objects/{key}"))
+    }
+
+    /// Reads `path`; a reply that does not begin within the timeout on a kept connection
+    /// is asked for again on a new one.
+    async fn read(&self, req: Request, wait: Duration) -> Result<Reply, PlatformError> {
+        self.reads.take(Instant::now())?;
+        if let Some(kept) = self.connections.take(IDLE_FOR_READS) {
+            let within = wait + STALE_TIMEOUT;
+            let tried = self.connections.exchange(kept, req.clone(), within).await;
+            match tried {
+                Err(PlatformError::Unsettled(_)) => {}
+                tried => return tried.and_then(checked),
+            }
+        }
+        let stream = self.connections.open().await?;
+        self.connections
+            .exchange(stream, req, wait + CALL_TIMEOUT)
             .await
-            .map_err(|_| PlatformError::Unreachable("no connection in time".to_owned()))?
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-        let res = timeout(within.as_duration(), async_h1::connect(stream, req))
+            .and_then(checked)
+    }
+
+    /// Sends a write once.
+    async fn write(&self, req: Request) -> Result<Reply, PlatformError> {
+        self.writes.take(Instant::now())?;
+        let stream = match self.connections.take(IDLE_FOR_WRITES) {
+            Some(kept) => kept,
+            None => self.connections.open().await?,
+        };
+        self.connections
+            .exchange(stream, req, CALL_TIMEOUT)
             .await
-            .map_err(|_| PlatformError::Unsettled("no reply in time".to_owned()))?
-            .map_err(|error| PlatformError::Unsettled(error.to_string()))?;
-        match res.status() {
-            StatusCode::PreconditionFailed => Err(PlatformError::Conflict),
-            StatusCode::Gone => Err(PlatformError::Compacted),
-            StatusCode::PayloadTooLarge => Err(PlatformError::TooLarge),
-            StatusCode::TooManyRequests => Err(PlatformError::Busy),
-            status if status.is_success() || status == StatusCode::NotFound => Ok(res),
-            status => Err(PlatformError::Unsettled(format!("status {status}"))),
+            .and_then(checked)
+    }
+}
+
+fn checked(reply: Reply) -> Result<Reply, PlatformError> {
+    let status = reply.status;
+    match status {
+        StatusCode::PreconditionFailed => Err(PlatformError::Conflict),
+        StatusCode::Gone => Err(PlatformError::Compacted),
+        StatusCode::PayloadTooLarge => Err(PlatformError::TooLarge),
+        StatusCode::TooManyRequests => Err(PlatformError::Busy),
+        StatusCode::NotFound => Ok(reply),
+        status if status.is_success() => Ok(reply),
+        status if status.is_client_error() => {
+            Err(PlatformError::Rejected(format!("status {status}")))
         }
+        status => Err(PlatformError::Unsettled(format!("status {status}"))),
     }
 }
 
-async fn read<T: DeserializeOwned>(mut res: Response) -> Result<T, PlatformError> {
-    let body = timeout(CALL_TIMEOUT.as_duration(), res.body_bytes())
-        .await
-        .map_err(|_| PlatformError::Unsettled("no whole reply in time".to_owned()))?
-        .map_err(|error| PlatformError::Unsettled(error.to_string()))?;
-    serde_json::from_slice(&body).map_err(|error| PlatformError::Protocol(error.to_string()))
+fn parse<T: DeserializeOwned>(reply: &Reply) -> Result<T, PlatformError> {
+    if reply.status == StatusCode::NotFound {
+        return Err(PlatformError::Protocol("status 404".to_owned()));
+    }
+    serde_json::from_slice(&reply.body).map_err(|error| PlatformError::Protocol(error.to_string()))
 }
 
 impl Platform for HttpPlatform {
     fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>> {
         Box::pin(async move {
             let req = self.request(Method::Get, "/v1/instances")?;
-            let res = self.call(req, CALL_TIMEOUT).await?;
-            let wire: InstancesWire = read(res).await?;
+            let reply = self.read(req, Duration::ZERO).await?;
+            let wire: InstancesWire = parse(&reply)?;
             wire.instances
                 .into_iter()
                 .map(ListedInstance::try_from)
@@ -81,20 +135,21 @@
         key: &'a ObjectKey,
     ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
         Box::pin(async move {
-            let req = self.request(Method::Get, &format!("/v1/objects/{key}"))?;
-            let res = self.call(req, CALL_TIMEOUT).await?;
-            if res.status() == StatusCode::NotFound {
+            let req = self.object_request(Method::Get, key)?;
+            let reply = self.read(req, Duration::ZERO).await?;
+            if reply.status == StatusCode::NotFound {
                 return Ok(None);
             }
-            read::<ObjectWire>(res).await?.try_into().map(Some)
+            parse::<ObjectWire>(&reply)?.try_into().map(Some)
         })
     }
 
     fn list<'a>(&'a self, prefix: &'a str) -> BoxFuture<'a, Result<Listing, PlatformError>> {
         Box::pin(async move {
+            let prefix = utf8_percent_encode(prefix, IN_QUERY);
             let req = self.request(Method::Get, &format!("/v1/objects?prefix={prefix}"))?;
-            let res = self.call(req, CALL_TIMEOUT).await?;
-            read::<ListingWire>(res).await?.try_into()
+            let reply = self.read(req, Duration::ZERO).await?;
+            parse::<ListingWire>(&reply)?.try_into()
         })
     }
 
@@ -105,14 +160,14 @@
         expected: Expected,
     ) -> BoxFuture<'a, Result<ObjectVersion, PlatformError>> {
         Box::pin(async move {
-            let mut req = self.request(Method::Put, &format!("/v1/objects/{key}"))?;
+            let mut req = self.object_request(Method::Put, key)?;
             match expected {
                 Expected::Absent => req.insert_header("If-None-Match", "*"),
                 Expected::Version(version) => req.insert_header("If-Match", version.to_string()),
             };
             req.set_body(value);
-            let res = self.call(req, CALL_TIMEOUT).await?;
-            let written: WrittenWire = read(res).await?;
+            let reply = self.write(req).await?;
+            let written: WrittenWire = parse(&reply)?;
             Ok(ObjectVersion(written.version))
         })
     }
@@ -123,9 +178,9 @@
         expected: ObjectVersion,
     ) -> BoxFuture<'a, Result<(), PlatformError>> {
         Box::pin(async move {
-            let mut req = self.request(Method::Delete, &format!("/v1/objects/{key}"))?;
+            let mut req = self.object_request(Method::Delete, key)?;
             req.insert_header("If-Match", expected.to_string());
-            self.call(req, CALL_TIMEOUT).await.map(drop)
+            self.write(req).await.map(drop)
         })
     }
 
@@ -137,11 +192,11 @@
     ) -> BoxFuture<'a, Result<Changes, PlatformError>> {
         Box::pin(async move {
             let wait_ms = wait.as_millis();
+            let prefix = utf8_percent_encode(prefix, IN_QUERY);
             let path = format!("/v1/watch?prefix={prefix}&from={from}&wait_ms={wait_ms}");
             let req = self.request(Method::Get, &path)?;
-            let within = Span(wait.0 + CALL_TIMEOUT.0);
-            let res = self.call(req, within).await?;
-            read::<ChangesWire>(res).await?.try_into()
+            let reply = self.read(req, wait.as_duration()).await?;
+            parse::<ChangesWire>(&reply)?.try_into()
         })
     }
 }
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -1,13 +1,20 @@
 //! The edge towards the platform's object API: a trait, its types, and the client
 //! that speaks HTTP. What the API promises is in `docs/INTERFACES.md`, "Platform".
 
+mod backoff;
+mod call_rate;
+mod connections;
 mod http;
 mod wire;
 
 #[cfg(test)]
 #[allow(dead_code, reason = "each test uses a part of the fake")]
 pub(crate) mod fake;
+#[cfg(test)]
+mod platform_tests;
 
+pub(crate) use backoff::Backoff;
+pub use call_rate::CallRates;
 pub use http::HttpPlatform;
 
 use std::fmt;
@@ -28,6 +35,22 @@
         Self(key.into())
     }
 
+    /// Whether the platform can hold an object of this key.
+    ///
+    /// # Errors
+    /// [`PlatformError::Rejected`] when a part of the key is empty or a step in a path,
+    /// which HTTP would rewrite on the way.
+    pub fn check(&self) -> Result<(), PlatformError> {
+        let is_step = |part: &str| matches!(part, "" | "." | "..");
+        if self.0.split('/').any(is_step) {
+            return Err(PlatformError::Rejected(format!(
+                "{:?} is not a key",
+                self.0
+            )));
+        }
+        Ok(())
+    }
+
     /// The key as text.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- a/src/process/process_tests.rs
+++ b/src/process/process_tests.rs
@@ -4,8 +4,8 @@
 
 use rstest::rstest;
 
-use super::{Budgets, Rank, Ranked, Settings, SettingsError};
-use crate::types::{ByteCount, Ratio, Span};
+use super::{Budgets, CallRates, Rank, Ranked, Settings, SettingsError};
+use crate::types::{ByteCount, PerSecond, Ratio, Span};
 use crate::version::{Class, Targets};
 
 #[test]
@@ -30,6 +30,7 @@
         name: "one".parse().unwrap(),
         listen: "127.0.0.1:8080".parse().unwrap(),
         platform: "127.0.0.1:8081".parse().unwrap(),
+        platform_rates: CallRates::default(),
         failure_domain: "suva-a".parse().unwrap(),
         region: "central".parse().unwrap(),
         workers: 4,
@@ -51,6 +52,10 @@
     },
     wanted: |_| vec![SettingsError::Workers(0), SettingsError::MostBody],
 })]
+#[case::no_calls(Case {
+    change: |settings| settings.platform_rates.writes = PerSecond(0.5),
+    wanted: |_| vec![SettingsError::PlatformRates],
+})]
 #[case::own_platform(Case {
     change: |settings| settings.platform = settings.listen,
     wanted: |listen| vec![SettingsError::SameAddress(listen)],
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -2,12 +2,13 @@
 
 use std::net::SocketAddr;
 
+use super::CallRates;
 use crate::types::{ByteCount, FailureDomain, InstanceName, Region};
 
 const MOST_WORKERS: usize = 64;
 
 /// What an instance is told when it starts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// The instance's name, unique among all instances.
     pub name: InstanceName,
@@ -15,6 +16,8 @@
     pub listen: SocketAddr,
     /// Where the platform's object API answers.
     pub platform: SocketAddr,
+    /// How many calls a second the instance makes to it at most.
+    pub platform_rates: CallRates,
     /// The failure domain the instance stands in.
     pub failure_domain: FailureDomain,
     /// The region of that failure domain.
@@ -35,6 +38,9 @@
     /// Bodies of no size could never be sent.
     #[error("--most-body must be at least 1")]
     MostBody,
+    /// An instance that makes no calls learns no configuration.
+    #[error("--platform-reads and --platform-writes must be at least 1/s")]
+    PlatformRates,
     /// The instance would be its own platform.
     #[error("--listen and --platform are the same address, {0}")]
     SameAddress(SocketAddr),
@@ -51,6 +57,10 @@
         if self.most_body == ByteCount(0) {
             errors.push(SettingsError::MostBody);
         }
+        let CallRates { reads, writes } = self.platform_rates;
+        if reads.0 < 1.0 || writes.0 < 1.0 {
+            errors.push(SettingsError::PlatformRates);
+        }
         if self.listen == self.platform {
             errors.push(SettingsError::SameAddress(self.listen));
         }
--- /dev/null
+++ b/tests/platform_client.rs
@@ -0,0 +1,220 @@
+//! What the client of the platform does about connections and replies that fail.
+
+mod standin;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::io::{ReadExt, WriteExt};
+use hyssopwalk::{
+    CallRates, Expected, HttpPlatform, ObjectKey, PerSecond, Platform, PlatformError,
+};
+use serde_json::json;
+use standin::listen;
+use standin::platform::Platform as StandIn;
+
+const FREELY: CallRates = CallRates {
+    reads: PerSecond(1e6),
+    writes: PerSecond(1e6),
+};
+
+fn key() -> ObjectKey {
+    ObjectKey::new("a")
+}
+
+async fn put(client: &HttpPlatform) -> Result<(), PlatformError> {
+    let key = key();
+    let put = client.put(&key, b"1".to_vec(), Expected::Absent);
+    put.await.map(drop)
+}
+
+#[async_std::test]
+async fn where_nothing_listens_a_write_had_no_effect() {
+    let nothing_listens: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let client = HttpPlatform::new(nothing_listens, FREELY);
+    let error = put(&client).await.unwrap_err();
+    assert!(matches!(error, PlatformError::Unreachable(_)), "{error}");
+    assert!(error.had_no_effect());
+}
+
+#[async_std::test]
+async fn calls_one_after_another_share_a_connection() {
+    let standin = StandIn::start().await;
+    let client = HttpPlatform::new(standin.addr, FREELY);
+    for _ in 0..50 {
+        client.get(&key()).await.unwrap();
+    }
+    assert_eq!(standin.connections(), 1);
+}
+
+#[async_std::test]
+async fn calls_at_the_same_time_have_connections_of_their_own() {
+    let standin = StandIn::start().await;
+    standin.faults(|faults| faults.slow = Duration::from_millis(100));
+    let client = HttpPlatform::new(standin.addr, FREELY);
+    let key = key();
+    let calls = (0..20).map(|_| client.get(&key));
+    let read = futures::future::join_all(calls).await;
+    assert!(read.iter().all(Result::is_ok), "{read:?}");
+    assert_eq!(standin.connections(), 20);
+}
+
+struct Fault {
+    name: &'static str,
+    cause: fn(&StandIn),
+}
+
+#[async_std::test]
+async fn reads_go_over_a_new_connection_when_the_kept_one_is_lost() {
+    let faults = [
+        Fault {
+            name: "silent",
+            cause: StandIn::silence_connections,
+        },
+        Fault {
+            name: "cut",
+            cause: StandIn::cut_connections,
+        },
+    ];
+    for fault in faults {
+        let standin = StandIn::start().await;
+        standin.set("b", json!(1));
+        let client = HttpPlatform::new(standin.addr, FREELY);
+        client.get(&key()).await.unwrap();
+        (fault.cause)(&standin);
+        let read = client.get(&ObjectKey::new("b")).await;
+        assert!(matches!(read, Ok(Some(_))), "{}: {read:?}", fault.name);
+
+        (fault.cause)(&standin);
+        match put(&client).await {
+            Ok(()) => assert_eq!(standin.value("a"), Some(json!(1))),
+            Err(error) => {
+                assert!(!error.had_no_effect(), "{}: {error}", fault.name);
+                put(&client).await.unwrap();
+            }
+        }
+    }
+}
+
+#[async_std::test]
+async fn an_instance_keeps_to_its_own_rates() {
+    let standin = StandIn::start().await;
+    let rates = CallRates {
+        reads: PerSecond(0.001),
+        writes: PerSecond(500.0),
+    };
+    let client = HttpPlatform::new(standin.addr, rates);
+    assert_eq!(client.get(&key()).await, Err(PlatformError::Busy));
+    assert_eq!(standin.calls().reads, 0);
+    put(&client).await.unwrap();
+}
+
+struct Reply {
+    name: &'static str,
+    bytes: fn() -> Vec<u8>,
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n";
+
+fn body(body: &str) -> Vec<u8> {
+    format!("{HEAD}content-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+#[async_std::test]
+async fn a_reply_that_is_not_of_the_protocol_is_an_error() {
+    let replies = [
+        Reply {
+            name: "nothing",
+            bytes: Vec::new,
+        },
+        Reply {
+            name: "no HTTP",
+            bytes: || vec![0xff; 4096],
+        },
+        Reply {
+            name: "half a head",
+            bytes: || b"HTTP/1.1 200 OK\r\ncont".to_vec(),
+        },
+        Reply {
+            name: "half a body",
+            bytes: || format!("{HEAD}content-length: 100\r\n\r\n{{\"key\"").into_bytes(),
+        },
+        Reply {
+            name: "no JSON",
+            bytes: || body("{"),
+        },
+        Reply {
+            name: "other JSON",
+            bytes: || body("[1,2,3]"),
+        },
+        Reply {
+            name: "a version that is none",
+            bytes: || body(r#"{"key":"a","version":-1,"value":1}"#),
+        },
+        Reply {
+            name: "deeply nested",
+            bytes: || body(&"[".repeat(100_000)),
+        },
+        Reply {
+            name: "an endless head",
+            bytes: || {
+                let mut head = HEAD.as_bytes().to_vec();
+                head.extend(b"x: y\r\n".repeat(100_000));
+                head
+            },
+        },
+        Reply {
+            name: "too large",
+            bytes: || body(&" ".repeat((16 << 20) + 1)),
+        },
+        Reply {
+            name: "no such status",
+            bytes: || b"HTTP/1.1 999 ?\r\n\r\n".to_vec(),
+        },
+    ];
+    for reply in replies {
+        let addr = serve((reply.bytes)()).await;
+        let client = HttpPlatform::new(addr, FREELY);
+        let read = client.get(&key()).await;
+        assert!(read.is_err(), "{}: {read:?}", reply.name);
+        let error = put(&client).await.unwrap_err();
+        assert!(!error.had_no_effect(), "{}: {error}", reply.name);
+    }
+}
+
+/// Answers every connection with these bytes, whatever is asked, and closes it.
+async fn serve(bytes: Vec<u8>) -> SocketAddr {
+    let (listener, addr) = listen().await;
+    async_std::task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            stream.read(&mut buf).await.ok();
+            stream.write_all(&bytes).await.ok();
+        }
+    });
+    addr
+}
+
+#[async_std::test]
+#[ignore = "prints what a call costs over a kept and over a new connection"]
+async fn cost_of_a_call() {
+    const CALLS: u32 = 2_000;
+    let standin = StandIn::start().await;
+    standin.state().limit(standin::platform::Rates {
+        reads: u64::MAX,
+        writes: u64::MAX,
+    });
+    let kept = HttpPlatform::new(standin.addr, FREELY);
+    for (name, new_each) in [("kept", false), ("new", true)] {
+        let begun = Instant::now();
+        for _ in 0..CALLS {
+            if new_each {
+                let client = HttpPlatform::new(standin.addr, FREELY);
+                client.get(&key()).await.unwrap();
+            } else {
+                kept.get(&key()).await.unwrap();
+            }
+        }
+        println!("{name}: {:?} a call", begun.elapsed() / CALLS);
+    }
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod guild;
 pub(crate) mod instance;
 pub(crate) mod platform;
+mod platform_state;
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -1,259 +1,293 @@
-//! The platform's object API in memory: versions, conditional writes, watches, a list
-//! of instances, counts of calls, and the faults that tests ask for.
+//! The platform's object API over HTTP. Its state, with the faults and the counts of
+//! calls, is the fake that unit tests use; what is here is HTTP and its connections.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::str::FromStr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::sync::atomic::{AtomicU64, Ordering};
 
-use parking_lot::Mutex;
+use async_std::net::{TcpListener, TcpStream};
+use hyssopwalk::{
+    Changes, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion, Platform as Api,
+    PlatformError, Revision, Span,
+};
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
-use tide::{Request, Response};
-
-/// The faults that are in force.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Faults {
-    /// Every call fails with status 500.
-    pub(crate) down: bool,
-    /// Every call takes this much longer.
-    pub(crate) slow: Duration,
-    /// This many writes take effect but lose their reply.
-    pub(crate) lose_replies: u32,
-}
+use tide::http::{Body, Method, Request, Response, StatusCode};
 
-/// How often each kind of call was made.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) struct Calls {
-    pub(crate) reads: u64,
-    pub(crate) writes: u64,
-    pub(crate) watches: u64,
-}
+pub(crate) use super::platform_state::{Calls, FakePlatform, Faults, Rates};
 
-#[derive(Debug, Default)]
-struct Store {
-    revision: u64,
-    compacted: u64,
-    objects: BTreeMap<String, (u64, Value)>,
-    history: Vec<(u64, String)>,
-    instances: Vec<Value>,
-    faults: Faults,
-    calls: Calls,
-}
+/// What the platform says that it takes, in calls a second.
+const RATES: Rates = Rates {
+    reads: 2_000,
+    writes: 400,
+};
 
 /// A running platform.
 #[derive(Clone, Debug)]
 pub(crate) struct Platform {
     pub(crate) addr: SocketAddr,
-    store: Arc<Mutex<Store>>,
+    fake: Arc<FakePlatform>,
+    connections: Arc<Connections>,
 }
 
-type Cx = Arc<Mutex<Store>>;
+/// Connections are numbered; those below a number are silent or cut.
+#[derive(Debug, Default)]
+struct Connections {
+    opened: AtomicU64,
+    silent_below: AtomicU64,
+    cut_below: AtomicU64,
+}
 
 impl Platform {
     /// Starts a platform with nothing in it.
     pub(crate) async fn start() -> Self {
-        let store = Cx::default();
-        let mut app = tide::with_state(Arc::clone(&store));
-        app.at("/v1/instances")
-            .get(|req: Request<Cx>| async move { call(req, instances).await });
-        app.at("/v1/objects")
-            .get(|req: Request<Cx>| async move { call(req, list).await });
-        app.at("/v1/objects/*key")
-            .get(|req: Request<Cx>| async move { call(req, get).await })
-            .put(put)
-            .delete(delete);
-        app.at("/v1/watch").get(watch);
         let (listener, addr) = super::listen().await;
-        async_std::task::spawn(app.listen(listener));
-
-        Self { addr, store }
+        let platform = Self {
+            addr,
+            fake: Arc::default(),
+            connections: Arc::default(),
+        };
+        platform.fake.limit(RATES);
+        async_std::task::spawn(platform.clone().accept(listener));
+        platform
     }
 
     /// Writes an object whatever it was before.
+    #[expect(clippy::needless_pass_by_value, reason = "tests write values in place")]
     pub(crate) fn set(&self, key: &str, value: Value) -> u64 {
-        self.store.lock().write(key, Some(value))
+        self.fake.set(key, &value).0
     }
 
     /// An object's value.
     pub(crate) fn value(&self, key: &str) -> Option<Value> {
-        self.store
-            .lock()
-            .objects
-            .get(key)
-            .map(|(_, value)| value.clone())
+        self.fake.value(key)
     }
 
     /// Sets the list of instances.
+    #[expect(clippy::needless_pass_by_value, reason = "tests write values in place")]
     pub(crate) fn list_instances(&self, instances: Vec<Value>) {
-        self.store.lock().instances = instances;
+        let instances = instances.iter().map(listed_instance).collect();
+        self.fake.list_instances(instances);
+    }
+
+    /// The state, to cause faults and count calls.
+    pub(crate) fn state(&self) -> &FakePlatform {
+        &self.fake
     }
 
     /// Changes the faults in force.
     pub(crate) fn faults(&self, change: impl FnOnce(&mut Faults)) {
-        change(&mut self.store.lock().faults);
+        self.fake.faults(change);
     }
 
     /// Forgets all changes so far, which ends older watches.
     pub(crate) fn compact(&self) {
-        let mut store = self.store.lock();
-        store.compacted = store.revision;
-        store.history.clear();
+        self.fake.compact();
     }
 
     /// The calls so far.
     pub(crate) fn calls(&self) -> Calls {
-        self.store.lock().calls
+        self.fake.calls()
     }
-}
 
-impl Store {
-    fn write(&mut self, key: &str, value: Option<Value>) -> u64 {
-        self.revision += 1;
-        self.history.push((self.revision, key.to_owned()));
-        match value {
-            Some(value) => self.objects.insert(key.to_owned(), (self.revision, value)),
-            None => self.objects.remove(key),
+    /// How many connections were opened so far.
+    pub(crate) fn connections(&self) -> u64 {
+        self.connections.opened.load(Ordering::SeqCst)
+    }
+
+    /// Lets every open connection go silent for good; new ones work.
+    pub(crate) fn silence_connections(&self) {
+        let opened = self.connections();
+        let silent_below = &self.connections.silent_below;
+        silent_below.store(opened, Ordering::SeqCst);
+    }
+
+    /// Closes every open connection at its next request, without a reply.
+    pub(crate) fn cut_connections(&self) {
+        let opened = self.connections();
+        self.connections.cut_below.store(opened, Ordering::SeqCst);
+    }
+
+    async fn accept(self, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = self.connections.opened.fetch_add(1, Ordering::SeqCst);
+            async_std::task::spawn(self.clone().serve(stream, number));
+        }
+    }
+
+    async fn serve(self, stream: TcpStream, number: u64) {
+        stream.set_nodelay(true).ok();
+        let served = async_h1::accept(stream, |req| {
+            let platform = self.clone();
+            async move { platform.answer(req, number).await }
+        });
+        served.await.ok();
+    }
+
+    async fn answer(&self, req: Request, number: u64) -> tide::http::Result<Response> {
+        if number < self.connections.silent_below.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+        if number < self.connections.cut_below.load(Ordering::SeqCst) {
+            return Err(tide::http::Error::from_str(500, "the connection is cut"));
+        }
+        let res = match self.handle(req).await {
+            Ok(Value::Null) => Response::new(404),
+            Ok(value) => reply(200, Body::from_json(&value)?),
+            Err(error) => reply(status(&error), Body::from_string(error.to_string())),
         };
-        self.revision
+        Ok(res)
     }
 
-    fn object(&self, key: &str) -> Value {
-        match self.objects.get(key) {
-            Some((version, value)) => json!({ "key": key, "version": version, "value": value }),
-            None => Value::Null,
+    async fn handle(&self, mut req: Request) -> Result<Value, PlatformError> {
+        let path = req.url().path().to_owned();
+        match (req.method(), path.as_str()) {
+            (Method::Get, "/v1/instances") => instances(&*self.fake).await,
+            (Method::Get, "/v1/objects") => {
+                let listing = self.fake.list(&parameter(&req, "prefix")).await?;
+                Ok(listing_wire(&listing))
+            }
+            (Method::Get, "/v1/watch") => self.watch(&req).await,
+            (method, path) => match path.strip_prefix("/v1/objects/") {
+                Some(key) => {
+                    let key = ObjectKey::new(percent_decode_str(key).decode_utf8_lossy());
+                    let expected = expected(&req)?;
+                    let body = req.body_bytes().await.map_err(|error| rejected(&error))?;
+                    self.object(method, &key, body, expected).await
+                }
+                None => Ok(Value::Null),
+            },
         }
     }
 
-    fn changes(&self, prefix: &str, from: u64) -> Vec<Value> {
-        let mut keys: Vec<&String> = Vec::new();
-        for (revision, key) in &self.history {
-            if *revision > from && key.starts_with(prefix) && !keys.contains(&key) {
-                keys.push(key);
+    async fn object(
+        &self,
+        method: Method,
+        key: &ObjectKey,
+        body: Vec<u8>,
+        expected: Expected,
+    ) -> Result<Value, PlatformError> {
+        match (method, expected) {
+            (Method::Get, _) => Ok(object_wire(self.fake.get(key).await?.as_ref())),
+            (Method::Put, expected) => {
+                let version = self.fake.put(key, body, expected).await?;
+                Ok(json!({ "version": version.0 }))
+            }
+            (Method::Delete, Expected::Version(version)) => {
+                self.fake.delete(key, version).await?;
+                Ok(json!({}))
             }
+            _ => Err(PlatformError::Rejected(format!("{method}"))),
         }
-        keys.iter()
-            .map(|key| json!({ "key": key, "object": self.object(key) }))
-            .collect()
     }
-}
 
-async fn enter(req: &Request<Cx>, count: fn(&mut Calls)) -> Result<(), Response> {
-    let faults = {
-        let mut store = req.state().lock();
-        count(&mut store.calls);
-        store.faults
-    };
-    async_std::task::sleep(faults.slow).await;
-    if faults.down {
-        Err(Response::new(500))
-    } else {
-        Ok(())
+    async fn watch(&self, req: &Request) -> Result<Value, PlatformError> {
+        let number = |name| parameter(req, name).parse().unwrap_or(0);
+        let wait = Span::from_millis(number("wait_ms"));
+        let from = Revision(number("from"));
+        let prefix = parameter(req, "prefix");
+        let Changes { revision, changes } = self.fake.watch(&prefix, from, wait).await?;
+        let changes: Vec<Value> = changes
+            .iter()
+            .map(|change| {
+                json!({ "key": change.key.as_str(), "object": object_wire(change.object.as_ref()) })
+            })
+            .collect();
+        Ok(json!({ "revision": revision.0, "changes": changes }))
     }
 }
 
-async fn call(req: Request<Cx>, handle: fn(&Store, &Request<Cx>) -> Value) -> tide::Result {
-    if let Err(res) = enter(&req, |calls| calls.reads += 1).await {
-        return Ok(res);
+fn status(error: &PlatformError) -> StatusCode {
+    match error {
+        PlatformError::Conflict => StatusCode::PreconditionFailed,
+        PlatformError::Compacted => StatusCode::Gone,
+        PlatformError::TooLarge => StatusCode::PayloadTooLarge,
+        PlatformError::Busy => StatusCode::TooManyRequests,
+        PlatformError::Rejected(_) => StatusCode::BadRequest,
+        PlatformError::Unreachable(_)
+        | PlatformError::Unsettled(_)
+        | PlatformError::Protocol(_) => StatusCode::InternalServerError,
     }
-    let handled = handle(&req.state().lock(), &req);
-    Ok(if handled.is_null() {
-        Response::new(404)
-    } else {
-        reply(handled)
-    })
 }
 
-fn reply(value: Value) -> Response {
-    Response::builder(200).body(value).build()
+fn reply(status: impl TryInto<StatusCode, Error: std::fmt::Debug>, body: Body) -> Response {
+    let mut res = Response::new(status);
+    res.set_body(body);
+    res
 }
 
-fn parameter(req: &Request<Cx>, name: &str) -> String {
+fn rejected(error: &impl std::fmt::Display) -> PlatformError {
+    PlatformError::Rejected(error.to_string())
+}
+
+fn parameter(req: &Request, name: &str) -> String {
     let found = req.url().query_pairs().find(|(key, _)| key == name);
     found
         .map(|(_, value)| value.into_owned())
         .unwrap_or_default()
 }
 
-fn instances(store: &Store, _: &Request<Cx>) -> Value {
-    json!({ "instances": store.instances })
+fn expected(req: &Request) -> Result<Expected, PlatformError> {
+    match req.header("If-Match") {
+        None => Ok(Expected::Absent),
+        Some(version) => {
+            let version: ObjectVersion = version
+                .last()
+                .as_str()
+                .parse()
+                .map_err(|error| rejected(&error))?;
+            Ok(Expected::Version(version))
+        }
+    }
 }
 
-fn list(store: &Store, req: &Request<Cx>) -> Value {
-    let prefix = parameter(req, "prefix");
-    let keys = store.objects.keys().filter(|key| key.starts_with(&prefix));
-    let objects: Vec<Value> = keys.map(|key| store.object(key)).collect();
-    json!({ "revision": store.revision, "objects": objects })
+async fn instances(api: &impl Api) -> Result<Value, PlatformError> {
+    let listed = api.instances().await?;
+    let instances: Vec<Value> = listed
+        .iter()
+        .map(|instance| {
+            json!({
+                "name": instance.name.as_str(),
+                "addr": instance.addr.to_string(),
+                "peer_addr": instance.peer_addr.to_string(),
+                "failure_domain": instance.failure_domain.as_str(),
+                "region": instance.region.as_str(),
+                "leaving": instance.leaving,
+            })
+        })
+        .collect();
+    Ok(json!({ "instances": instances }))
 }
 
-fn get(store: &Store, req: &Request<Cx>) -> Value {
-    store.object(req.param("key").unwrap_or_default())
+fn listing_wire(listing: &Listing) -> Value {
+    let objects = listing
+        .objects
+        .iter()
+        .map(|object| object_wire(Some(object)));
+    json!({ "revision": listing.revision.0, "objects": objects.collect::<Vec<_>>() })
 }
 
-async fn put(mut req: Request<Cx>) -> tide::Result {
-    const MOST_BYTES: usize = 1 << 20;
-    let body = req.body_bytes().await?;
-    if body.len() > MOST_BYTES {
-        return Ok(Response::new(413));
-    }
-    let Ok(value) = serde_json::from_slice::<Value>(&body) else {
-        return Ok(Response::new(400));
+fn object_wire(object: Option<&Object>) -> Value {
+    let Some(object) = object else {
+        return Value::Null;
     };
-    write(req, Some(value)).await
+    let value: Value = serde_json::from_slice(&object.value).expect("a JSON value");
+    json!({ "key": object.key.as_str(), "version": object.version.0, "value": value })
 }
 
-async fn delete(req: Request<Cx>) -> tide::Result {
-    write(req, None).await
-}
-
-async fn write(req: Request<Cx>, value: Option<Value>) -> tide::Result {
-    if let Err(res) = enter(&req, |calls| calls.writes += 1).await {
-        return Ok(res);
-    }
-    let key = req.param("key").unwrap_or_default();
-    let mut store = req.state().lock();
-    let version = store
-        .objects
-        .get(key)
-        .map(|(version, _)| version.to_string());
-    let expected = req
-        .header("If-Match")
-        .map(|values| values.last().to_string());
-    if expected != version {
-        return Ok(Response::new(412));
-    }
-    let version = store.write(key, value);
-    if store.faults.lose_replies > 0 {
-        store.faults.lose_replies -= 1;
-        return Ok(Response::new(500));
+fn listed_instance(value: &Value) -> ListedInstance {
+    ListedInstance {
+        name: text(value, "name"),
+        addr: text(value, "addr"),
+        peer_addr: text(value, "peer_addr"),
+        failure_domain: text(value, "failure_domain"),
+        region: text(value, "region"),
+        leaving: value["leaving"].as_bool().unwrap_or(false),
     }
-    Ok(reply(json!({ "version": version })))
 }
 
-async fn watch(req: Request<Cx>) -> tide::Result {
-    const STEP: Duration = Duration::from_millis(5);
-    let number = |name| parameter(&req, name).parse().unwrap_or(0);
-    let (from, wait): (u64, u64) = (number("from"), number("wait_ms"));
-    let prefix = parameter(&req, "prefix");
-    if let Err(res) = enter(&req, |calls| calls.watches += 1).await {
-        return Ok(res);
-    }
-    let end = Instant::now() + Duration::from_millis(wait);
-    loop {
-        {
-            let store = req.state().lock();
-            if store.faults.down {
-                return Ok(Response::new(500));
-            }
-            if from < store.compacted {
-                return Ok(Response::new(410));
-            }
-            let changes = store.changes(&prefix, from);
-            if !changes.is_empty() || Instant::now() >= end {
-                return Ok(reply(
-                    json!({ "revision": store.revision, "changes": changes }),
-                ));
-            }
-        }
-        async_std::task::sleep(STEP).await;
-    }
+fn text<T: FromStr<Err: std::fmt::Debug>>(value: &Value, name: &str) -> T {
+    let text = value[name].as_str().expect("a text");
+    text.parse().expect("a value of its type")
 }
