--- /dev/null
+++ b/examples/capacity.rs
@@ -0,0 +1,222 @@
+//! Measures the slopes that `docs/CAPACITY.md` is worked out from: bytes of state for
+//! each replica known, and bytes, allocations and time for each leg decided.
+//!
+//! `cargo run --release --example capacity`
+
+#[path = "../tests/standin/sized.rs"]
+mod sized;
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use hyssopwalk::{
+    Action, Budgets, Class, Context, Event, Index, LegReply, Limits, ObjectVersion, Query, QueryId,
+    Ratio, Snapshot, Span, Suspects, Targets, Timestamp, Upstreams,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use sized::{REPLICAS_A_SHARD, index_wire};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<std::alloc::System> = &INSTRUMENTED_SYSTEM;
+
+const SHARDS: [usize; 3] = [20, 200, 1_700];
+const QUERIES: u32 = 200;
+const BODY: &[u8] = br#"{"cloth":"masi","stitch":"long"}"#;
+
+fn main() {
+    println!("| slope | shards | value | unit |");
+    println!("| --- | ---: | ---: | --- |");
+    for shards in SHARDS {
+        measure_state(shards);
+        measure_decisions(shards);
+    }
+}
+
+struct Tables {
+    budgets: Budgets,
+    suspects: Suspects,
+    limits: Limits,
+    upstreams: Upstreams,
+    rng: SmallRng,
+}
+
+impl Tables {
+    fn new() -> Self {
+        Self {
+            budgets: Budgets::default(),
+            suspects: Suspects::default(),
+            limits: Limits::default(),
+            upstreams: Upstreams::default(),
+            rng: SmallRng::seed_from_u64(1),
+        }
+    }
+
+    fn context(&mut self, now: Timestamp) -> Context<'_> {
+        Context {
+            now,
+            budgets: &mut self.budgets,
+            suspects: &mut self.suspects,
+            limits: &mut self.limits,
+            upstreams: &mut self.upstreams,
+            rng: &mut self.rng,
+        }
+    }
+}
+
+fn row(slope: &str, shards: usize, value: f64, unit: &str) {
+    println!("| {slope} | {shards} | {value:.1} | {unit} |");
+}
+
+fn per(total: impl TryInto<u32>, count: usize) -> f64 {
+    let total = total.try_into().map_or(f64::NAN, f64::from);
+    total / u32::try_from(count).map_or(f64::NAN, f64::from)
+}
+
+fn measure_state(shards: usize) {
+    let wire = index_wire(shards);
+    let replicas = shards * REPLICAS_A_SHARD;
+    let object = serde_json::to_vec(&wire).expect("an index is JSON");
+    row(
+        "index object",
+        shards,
+        per(object.len(), replicas),
+        "bytes a replica",
+    );
+    let region = Region::new(ALLOCATOR);
+    let index = Index::try_from((&wire, ObjectVersion(1))).expect("a valid index");
+    row(
+        "directory",
+        shards,
+        per(net(&region), replicas),
+        "bytes a replica",
+    );
+    let mut tables = Tables::new();
+    let region = Region::new(ALLOCATOR);
+    for number in 0..4 {
+        run(
+            &mut tables,
+            number,
+            &index.snapshots[0],
+            Timestamp(u64::from(number) * 100_000),
+        );
+    }
+    let observed = tables.upstreams.in_flight();
+    assert_eq!(observed, 0, "every leg has ended");
+    row(
+        "tables of upstreams and limits",
+        shards,
+        per(net(&region), replicas),
+        "bytes a replica",
+    );
+}
+
+fn measure_decisions(shards: usize) {
+    let index = Index::try_from((&index_wire(shards), ObjectVersion(1))).expect("a valid index");
+    let snapshot = &index.snapshots[0];
+    let mut tables = Tables::new();
+    run(&mut tables, 0, snapshot, Timestamp::default());
+    let region = Region::new(ALLOCATOR);
+    let begun = Instant::now();
+    for number in 1..=QUERIES {
+        run(
+            &mut tables,
+            number,
+            snapshot,
+            Timestamp(u64::from(number) * 100_000),
+        );
+    }
+    let took = begun.elapsed();
+    let change = region.change();
+    let legs = shards * QUERIES as usize;
+    row(
+        "decisions",
+        shards,
+        per(took.as_nanos() / 100, legs) * 100.0,
+        "ns a leg",
+    );
+    row(
+        "decisions",
+        shards,
+        per(change.allocations, legs),
+        "allocations a leg",
+    );
+    row(
+        "decisions",
+        shards,
+        per(change.bytes_allocated / 100, legs) * 100.0,
+        "bytes a leg",
+    );
+    let region = Region::new(ALLOCATOR);
+    let (mut query, _) = begin(QUERIES + 1, snapshot);
+    let actions = query.start(&mut tables.context(Timestamp::default()));
+    row(
+        "query under way",
+        shards,
+        per(net(&region), shards),
+        "bytes a leg",
+    );
+    drop(actions);
+}
+
+fn net(region: &Region<'_, std::alloc::System>) -> usize {
+    let change = region.change();
+    (change.bytes_allocated + change.bytes_reallocated.unsigned_abs())
+        .saturating_sub(change.bytes_deallocated)
+}
+
+fn begin(number: u32, snapshot: &Arc<Snapshot>) -> (Query, Timestamp) {
+    let class = Arc::new(Class {
+        name: "finder".parse().expect("a valid name"),
+        index: "finder".parse().expect("a valid name"),
+        targets: Targets {
+            latency: Span::from_millis(170),
+            coverage: Ratio::ONE,
+            extra_load: "5%".parse().expect("a valid ratio"),
+            repeatable: true,
+        },
+    });
+    let now = Timestamp(u64::from(number) * 100_000);
+    let deadline = now + Span::from_millis(170);
+    let id = QueryId(u128::from(number));
+    (
+        Query::new(
+            id,
+            class,
+            Arc::clone(snapshot),
+            Arc::from(BODY),
+            now,
+            deadline,
+        ),
+        now,
+    )
+}
+
+/// Runs one query whose every leg replies after five milliseconds.
+fn run(tables: &mut Tables, number: u32, snapshot: &Arc<Snapshot>, now: Timestamp) {
+    let (mut query, _) = begin(number, snapshot);
+    let mut later = now;
+    let mut actions = query.start(&mut tables.context(now));
+    while !query.is_finished() {
+        later = later + Span::from_millis(5);
+        let mut next = Vec::new();
+        for action in actions.drain(..) {
+            if let Action::Send(leg) = action {
+                let reply = LegReply {
+                    query: leg.query,
+                    leg: leg.leg,
+                    snapshot: leg.snapshot,
+                    range: leg.range,
+                    body: Vec::new(),
+                };
+                let event = Event::Reply(leg.leg, reply);
+                next.extend(query.on_event(&mut tables.context(later), event));
+            }
+        }
+        if next.is_empty() {
+            next.extend(query.on_event(&mut tables.context(later), Event::Wake));
+        }
+        actions = next;
+    }
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -3,6 +3,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::process_collector::ProcessCollector;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::error::ErrorKind;
@@ -25,6 +26,7 @@
 impl Metrics {
     pub(crate) fn new() -> anyhow::Result<Self> {
         let registry = Registry::new();
+        registry.register(Box::new(ProcessCollector::for_self()))?;
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
             .build()?;
