Keep links in pools, prove them, and find silent ones

Cause: one connection for each upstream, with no sign when it went dead; a refused connection looked like a lost leg; every leg to an upstream that was down made a connect of its own. Ruled out: TCP keep-alive and fixed probes (docs/DESIGN.md, Silent connections); closing on the first late probe, which takes a lost segment for a silent connection; counting every connection that dies young as a failed try, which kept a replaced connection waiting (found by a test). Before (by reading, not run): nothing looked for a silent connection, and each leg to an upstream that refuses connections made a try. After: no new leg within 450 ms and closed within 850 ms of the first waiting leg, by a clock driven by hand; at most 30 tries for 2,000 legs, by count. Conclusion: silent connections are replaced and their replica is not avoided.

--- /dev/null
+++ b/src/connection/heard.rs
@@ -0,0 +1,56 @@
+//! A stream that tells when bytes came from the other end.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+
+use async_std::net::TcpStream;
+use futures::io::{AsyncRead, AsyncWrite};
+
+use super::watch::Watched;
+
+/// A stream whose reads are noted.
+#[derive(Debug)]
+pub(super) struct Heard {
+    stream: TcpStream,
+    watched: Arc<Watched>,
+}
+
+impl Heard {
+    pub(super) fn new(stream: TcpStream, watched: Arc<Watched>) -> Self {
+        Self { stream, watched }
+    }
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(1..))) {
+            self.watched.hear();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,14 +1,25 @@
 //! What lives for a connection: callers' and operators' over HTTP/1.1, and those to
 //! upstreams over HTTP/2. Encodings stay in here, decisions elsewhere.
 
+mod backoff;
+mod conn;
 mod front;
 mod hangup;
+mod heard;
+mod heartbeat;
 mod leg_wire;
-mod link;
+mod links;
+mod pool;
 mod query_api;
 mod query_wire;
+mod watch;
+
+#[cfg(test)]
+mod heartbeat_tests;
+#[cfg(test)]
+mod links_tests;
 
 pub(crate) use front::accept;
-pub(crate) use link::Links;
+pub(crate) use links::Links;
 
 pub use query_wire::{AnswerWire, CoverageWire, PartWire, RefusalWire};
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -93,7 +93,8 @@
     let (query, id) = (leg.query, leg.leg);
     let upstream = Arc::clone(&leg.upstream);
     instance.metrics.leg_sent(&upstream.name);
-    let result = instance.links.call(leg).await;
+    let most = instance.tables.limits.lock().connections(&leg.upstream);
+    let result = instance.links.call(leg, most).await;
     if let Err(failure) = &result {
         instance.metrics.leg_failed(&upstream.name, *failure);
     }
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -55,7 +55,7 @@
             clock,
             tables: Tables::new(rand::rng().next_u64()),
             timer: Arc::new(Timer::new()),
-            links: Links::new(),
+            links: Links::new(clock),
             jobs,
             metrics: Metrics::new()?,
             orders: Orders::new(Arc::clone(&platform), clock),
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -128,8 +128,8 @@
         };
         match end {
             LegEnd::Replied => seen.learn(now.since(begun)),
+            LegEnd::Failed(LegFailure::Silent | LegFailure::NoShare) | LegEnd::Cancelled => {}
             LegEnd::Failed(_) => seen.avoid_until = now + AVOID_AFTER_FAILURE,
-            LegEnd::Cancelled => {}
         }
     }
 
--- /dev/null
+++ b/tests/standin/leg.rs
@@ -0,0 +1,129 @@
+//! What an upstream does with one leg.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use async_std::channel::Receiver;
+use futures::future::{Either, select};
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream};
+use http::{HeaderMap, Request, Response};
+use tokio_util::bytes::Bytes;
+
+use super::upstream::{Behaviour, Inner, Mode};
+
+pub(super) async fn run(
+    inner: Arc<Inner>,
+    req: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+) {
+    let behaviour = *inner.behaviour.lock();
+    async_std::task::sleep(behaviour.one_way).await;
+    let (head, body) = req.into_parts();
+    let Some(body) = read(body).await else {
+        return;
+    };
+    let refused = match behaviour.mode {
+        Mode::Shed => Some((503, "shed")),
+        Mode::Draining => Some((503, "draining")),
+        Mode::SnapshotGone => Some((410, "snapshot-gone")),
+        Mode::Refuse => {
+            respond.send_reset(Reason::REFUSED_STREAM);
+            return;
+        }
+        _ => None,
+    };
+    if let Some((status, reason)) = refused {
+        let res = Response::builder()
+            .status(status)
+            .header("hw-reason", reason)
+            .body(());
+        respond
+            .send_response(res.expect("a valid response"), true)
+            .ok();
+        return;
+    }
+    let cancelled = std::future::poll_fn(|cx| respond.poll_reset(cx));
+    let worked = Box::pin(work(&inner, behaviour, &body));
+    let ended = select(worked, Box::pin(cancelled)).await;
+    if matches!(ended, Either::Right(_)) {
+        inner.resets.fetch_add(1, Ordering::Relaxed);
+        return;
+    }
+    drop(ended);
+    match behaviour.mode {
+        Mode::Crash => inner.cut(),
+        Mode::Silent => std::future::pending().await,
+        _ => {
+            async_std::task::sleep(behaviour.one_way).await;
+            let before = std::mem::replace(&mut *inner.last_head.lock(), head.headers.clone());
+            let is_crossed = behaviour.mode == Mode::Crossed && !before.is_empty();
+            let headers = if is_crossed { before } else { head.headers };
+            reply(&headers, behaviour.mode, respond);
+        }
+    }
+}
+
+async fn work(inner: &Inner, behaviour: Behaviour, body: &[u8]) {
+    inner.slots.0.send(()).await.ok();
+    let slot = Slot(&inner.slots.1);
+    let run = {
+        let mut runs = inner.runs.lock();
+        runs.push(body.to_vec());
+        runs.len()
+    };
+    let (extra, cold_runs) = behaviour.cold;
+    if run <= cold_runs as usize {
+        async_std::task::sleep(extra).await;
+    }
+    async_std::task::sleep(behaviour.service).await;
+    drop(slot);
+}
+
+struct Slot<'a>(&'a Receiver<()>);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        self.0.try_recv().ok();
+    }
+}
+
+async fn read(mut body: RecvStream) -> Option<Vec<u8>> {
+    let mut buf = Vec::new();
+    while let Some(chunk) = body.data().await {
+        let chunk = chunk.ok()?;
+        buf.extend_from_slice(&chunk);
+        body.flow_control().release_capacity(chunk.len()).ok()?;
+    }
+    Some(buf)
+}
+
+fn reply(headers: &HeaderMap, mode: Mode, mut respond: SendResponse<Bytes>) {
+    let mut res = Response::builder().status(200);
+    for name in ["hw-query", "hw-leg", "hw-snapshot", "hw-range"] {
+        if let Some(value) = headers.get(name) {
+            res = res.header(name, value);
+        }
+    }
+    if mode == Mode::Mangle {
+        let headers = res.headers_mut().expect("a valid response");
+        headers.insert("hw-query", "0".parse().expect("a valid value"));
+    }
+    let range = headers
+        .get("hw-range")
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or_default();
+    let body = serde_json::json!({ "hits": [format!("lot-{range}")] }).to_string();
+    if mode == Mode::Truncate {
+        res = res.header("content-length", body.len() + 1);
+    }
+    let Ok(mut stream) = respond.send_response(res.body(()).expect("a valid response"), false)
+    else {
+        return;
+    };
+    let is_whole = mode != Mode::BreakOff;
+    stream.send_data(Bytes::from(body), is_whole).ok();
+    if !is_whole {
+        stream.send_reset(Reason::INTERNAL_ERROR);
+    }
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -7,28 +7,21 @@
 
 pub(crate) mod guild;
 pub(crate) mod instance;
+mod leg;
+pub(crate) mod net;
 pub(crate) mod platform;
 mod platform_state;
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant, SystemTime};
+use std::time::SystemTime;
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpStream;
 use serde_json::Value;
 use tide::http::{Request, Response};
 
-/// A listener on a free port of the loopback interface.
-pub(crate) async fn listen() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-    let addr = listener.local_addr().expect("a bound address");
-    (listener, addr)
-}
-
-/// A port of the loopback interface that was free a moment ago.
-pub(crate) async fn free_addr() -> SocketAddr {
-    listen().await.1
-}
+#[allow(unused_imports, reason = "each test uses a part of them")]
+pub(crate) use self::net::{free_addr, listen, until};
 
 /// Sends one request on a connection of its own.
 pub(crate) async fn send(req: Request) -> std::io::Result<Response> {
@@ -79,19 +72,3 @@
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     format!("{}:{name}", since.expect("a time after 1970").as_secs())
 }
-
-/// Waits until `ready` says so, for at most ten seconds.
-pub(crate) async fn until<F, Fut>(what: &str, mut ready: F)
-where
-    F: FnMut() -> Fut,
-    Fut: Future<Output = bool>,
-{
-    let begun = Instant::now();
-    while !ready().await {
-        assert!(
-            begun.elapsed() < Duration::from_secs(10),
-            "{what} did not happen"
-        );
-        async_std::task::sleep(Duration::from_millis(20)).await;
-    }
-}
--- /dev/null
+++ b/tests/standin/net.rs
@@ -0,0 +1,34 @@
+//! Addresses of the loopback interface, and waiting for what others do.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use async_std::net::TcpListener;
+
+/// A listener on a free port of the loopback interface.
+pub(crate) async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let addr = listener.local_addr().expect("a bound address");
+    (listener, addr)
+}
+
+/// A port of the loopback interface that was free a moment ago.
+pub(crate) async fn free_addr() -> SocketAddr {
+    listen().await.1
+}
+
+/// Waits until `ready` says so, for at most ten seconds.
+pub(crate) async fn until<F, Fut>(what: &str, mut ready: F)
+where
+    F: FnMut() -> Fut,
+    Fut: Future<Output = bool>,
+{
+    let begun = Instant::now();
+    while !ready().await {
+        assert!(
+            begun.elapsed() < Duration::from_secs(10),
+            "{what} did not happen"
+        );
+        async_std::task::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/tests/standin/upstream.rs
+++ b/tests/standin/upstream.rs
@@ -3,18 +3,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::net::TcpStream;
-use futures::future::{AbortHandle, Abortable};
+use futures::future::{AbortHandle, Abortable, Either, select};
 use h2::RecvStream;
 use h2::server::SendResponse;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request};
 use parking_lot::Mutex;
 use tokio_util::bytes::Bytes;
-use tokio_util::compat::FuturesAsyncReadCompatExt;
+use tokio_util::compat::{Compat, FuturesAsyncReadCompatExt};
+
+use super::leg::run;
 
 /// What an upstream does with a leg.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -34,6 +36,14 @@
     Crash,
     /// Takes it and never says anything more.
     Silent,
+    /// Refuses the stream of it.
+    Refuse,
+    /// Runs it and ends the reply before its stated length.
+    Truncate,
+    /// Runs it and breaks off the reply.
+    BreakOff,
+    /// Runs it and replies with the ids of the leg before it.
+    Crossed,
 }
 
 /// How an upstream behaves.
@@ -44,6 +54,12 @@
     pub(crate) service: Duration,
     /// How long a message takes each way.
     pub(crate) one_way: Duration,
+    /// How long it takes to accept a connection, one after another.
+    pub(crate) connect: Duration,
+    /// How many connections it accepts at the same time; all when zero.
+    pub(crate) connections: usize,
+    /// How much longer each of the first legs takes, and how many they are.
+    pub(crate) cold: (Duration, u32),
 }
 
 /// A running upstream.
@@ -54,29 +70,45 @@
 }
 
 #[derive(Debug)]
-struct Inner {
-    behaviour: Mutex<Behaviour>,
-    slots: (Sender<()>, Receiver<()>),
-    connections: Mutex<Vec<AbortHandle>>,
-    accepted: AtomicU64,
-    runs: Mutex<Vec<Vec<u8>>>,
+pub(super) struct Inner {
+    pub(super) behaviour: Mutex<Behaviour>,
+    pub(super) slots: (Sender<()>, Receiver<()>),
+    pub(super) connections: Mutex<Vec<Connection>>,
+    pub(super) silent: Mutex<Vec<TcpStream>>,
+    pub(super) accepted: AtomicU64,
+    pub(super) refused: AtomicU64,
+    pub(super) resets: AtomicU64,
+    pub(super) last_head: Mutex<HeaderMap>,
+    pub(super) runs: Mutex<Vec<Vec<u8>>>,
+}
+
+#[derive(Debug)]
+pub(super) struct Connection {
+    abort: AbortHandle,
+    stream: TcpStream,
+    drain: Sender<()>,
+    ended: Arc<AtomicBool>,
 }
 
 impl Upstream {
     /// Starts an upstream.
     pub(crate) async fn start(slots: usize, behaviour: Behaviour) -> Self {
-        let (listener, addr) = super::listen().await;
+        let (listener, addr) = super::net::listen().await;
         let inner = Arc::new(Inner {
             behaviour: Mutex::new(behaviour),
             slots: bounded(slots),
             connections: Mutex::default(),
+            silent: Mutex::default(),
             accepted: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+            resets: AtomicU64::new(0),
+            last_head: Mutex::default(),
             runs: Mutex::default(),
         });
         let accepting = Arc::clone(&inner);
         async_std::task::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                accepting.accept(stream);
+                accepting.accept(stream).await;
             }
         });
         Self { addr, inner }
@@ -92,6 +124,36 @@
         self.inner.cut();
     }
 
+    /// Never says anything more on the connections that are open, nor closes them.
+    pub(crate) fn silence(&self) {
+        for connection in self.inner.connections.lock().drain(..) {
+            connection.abort.abort();
+            self.inner.silent.lock().push(connection.stream);
+        }
+    }
+
+    /// Closes the connections that are open in good order.
+    pub(crate) fn drain(&self) {
+        for connection in self.inner.connections.lock().iter() {
+            connection.drain.try_send(()).ok();
+        }
+    }
+
+    /// How many connections are open, those that went silent included.
+    pub(crate) fn open(&self) -> usize {
+        self.inner.open() + self.inner.silent.lock().len()
+    }
+
+    /// How many connections it refused.
+    pub(crate) fn refused(&self) -> u64 {
+        self.inner.refused.load(Ordering::Relaxed)
+    }
+
+    /// How many legs were cancelled.
+    pub(crate) fn resets(&self) -> u64 {
+        self.inner.resets.load(Ordering::Relaxed)
+    }
+
     /// The bodies of the legs that it ran, in order.
     pub(crate) fn runs(&self) -> Vec<Vec<u8>> {
         self.inner.runs.lock().clone()
@@ -104,116 +166,69 @@
 }
 
 impl Inner {
-    fn accept(self: &Arc<Self>, stream: TcpStream) {
+    async fn accept(self: &Arc<Self>, stream: TcpStream) {
+        let behaviour = *self.behaviour.lock();
+        async_std::task::sleep(behaviour.connect).await;
+        if behaviour.connections > 0 && self.open() >= behaviour.connections {
+            self.refused.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         self.accepted.fetch_add(1, Ordering::Relaxed);
         let (abort, registration) = AbortHandle::new_pair();
-        self.connections.lock().push(abort);
-        let serving = serve(Arc::clone(self), stream);
-        async_std::task::spawn(Abortable::new(serving, registration));
+        let (drain, draining) = bounded(1);
+        let ended = Arc::new(AtomicBool::new(false));
+        self.connections.lock().push(Connection {
+            abort,
+            stream: stream.clone(),
+            drain,
+            ended: Arc::clone(&ended),
+        });
+        let serving = serve(Arc::clone(self), stream, draining);
+        async_std::task::spawn(async move {
+            Abortable::new(serving, registration).await.ok();
+            ended.store(true, Ordering::Release);
+        });
     }
 
-    fn cut(&self) {
+    fn open(&self) -> usize {
+        let mut connections = self.connections.lock();
+        connections.retain(|connection| !connection.ended.load(Ordering::Acquire));
+        connections.len()
+    }
+
+    pub(super) fn cut(&self) {
         for connection in self.connections.lock().drain(..) {
-            connection.abort();
+            connection.abort.abort();
         }
     }
 }
 
-async fn serve(inner: Arc<Inner>, stream: TcpStream) {
+async fn serve(inner: Arc<Inner>, stream: TcpStream, draining: Receiver<()>) {
     stream.set_nodelay(true).ok();
     let Ok(mut connection) = h2::server::handshake(stream.compat()).await else {
         return;
     };
-    while let Some(Ok((req, respond))) = connection.accept().await {
-        async_std::task::spawn(run(Arc::clone(&inner), req, respond));
-    }
-}
-
-async fn run(inner: Arc<Inner>, req: Request<RecvStream>, mut respond: SendResponse<Bytes>) {
-    let behaviour = *inner.behaviour.lock();
-    async_std::task::sleep(behaviour.one_way).await;
-    let (head, body) = req.into_parts();
-    let Some(body) = read(body).await else {
-        return;
-    };
-    let refused = match behaviour.mode {
-        Mode::Shed => Some((503, "shed")),
-        Mode::Draining => Some((503, "draining")),
-        Mode::SnapshotGone => Some((410, "snapshot-gone")),
-        Mode::Normal | Mode::Mangle | Mode::Crash | Mode::Silent => None,
-    };
-    if let Some((status, reason)) = refused {
-        let res = Response::builder()
-            .status(status)
-            .header("hw-reason", reason)
-            .body(());
-        respond
-            .send_response(res.expect("a valid response"), true)
-            .ok();
-        return;
-    }
-    let cancelled = std::future::poll_fn(|cx| respond.poll_reset(cx));
-    let worked = Box::pin(work(&inner, behaviour, &body));
-    let ended = futures::future::select(worked, Box::pin(cancelled)).await;
-    if matches!(ended, futures::future::Either::Right(_)) {
-        return;
-    }
-    drop(ended);
-    match behaviour.mode {
-        Mode::Crash => inner.cut(),
-        Mode::Silent => std::future::pending().await,
-        _ => {
-            async_std::task::sleep(behaviour.one_way).await;
-            reply(&head.headers, behaviour.mode, respond);
+    while let Some(next) = next(&mut connection, &draining).await {
+        match next {
+            Some((req, respond)) => {
+                async_std::task::spawn(run(Arc::clone(&inner), req, respond));
+            }
+            None => connection.graceful_shutdown(),
         }
     }
 }
 
-async fn work(inner: &Inner, behaviour: Behaviour, body: &[u8]) {
-    inner.slots.0.send(()).await.ok();
-    let slot = Slot(&inner.slots.1);
-    inner.runs.lock().push(body.to_vec());
-    async_std::task::sleep(behaviour.service).await;
-    drop(slot);
-}
-
-struct Slot<'a>(&'a Receiver<()>);
-
-impl Drop for Slot<'_> {
-    fn drop(&mut self) {
-        self.0.try_recv().ok();
-    }
-}
-
-async fn read(mut body: RecvStream) -> Option<Vec<u8>> {
-    let mut buf = Vec::new();
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk.ok()?;
-        buf.extend_from_slice(&chunk);
-        body.flow_control().release_capacity(chunk.len()).ok()?;
+type Leg = (Request<RecvStream>, SendResponse<Bytes>);
+
+/// The next leg, or that the connection is to be drained.
+async fn next(
+    connection: &mut h2::server::Connection<Compat<TcpStream>, Bytes>,
+    draining: &Receiver<()>,
+) -> Option<Option<Leg>> {
+    let drained = Box::pin(draining.recv());
+    let accepted = Box::pin(connection.accept());
+    match select(accepted, drained).await {
+        Either::Left((accepted, _)) => Some(Some(accepted?.ok()?)),
+        Either::Right(_) => Some(None),
     }
-    Some(buf)
-}
-
-fn reply(headers: &HeaderMap, mode: Mode, mut respond: SendResponse<Bytes>) {
-    let mut res = Response::builder().status(200);
-    for name in ["hw-query", "hw-leg", "hw-snapshot", "hw-range"] {
-        if let Some(value) = headers.get(name) {
-            res = res.header(name, value);
-        }
-    }
-    if mode == Mode::Mangle {
-        let headers = res.headers_mut().expect("a valid response");
-        headers.insert("hw-query", "0".parse().expect("a valid value"));
-    }
-    let range = headers
-        .get("hw-range")
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or_default();
-    let body = serde_json::json!({ "hits": [format!("lot-{range}")] }).to_string();
-    let Ok(mut stream) = respond.send_response(res.body(()).expect("a valid response"), false)
-    else {
-        return;
-    };
-    stream.send_data(Bytes::from(body), true).ok();
 }
