Decide each query by observed latency, room, budget and proof of innocence

`Context` has a new field `newest`. `Budgets::take` takes an `Extra`. `Upstreams::choose`, `begin` and `end` have other parameters; `Upstreams` also has `lose` and `set_home`.

`query_tests` now drives its cases through `harness_tests`. The case that a lost leg of a query without any reply is retried, and that all lost legs end in `upstream-failed`, are replaced by `crash_tests`: such a query is held, then ends in `crashed`. "All shed" no longer ends at once: the shard waits and asks again until the deadline, so its case became all unreachable, and shedding has one of its own. Two tests of the choice among replicas assumed that a draw among two can be seen at random; they failed at first and now compare replicas of unequal latency.

--- a/examples/model/policy.rs
+++ b/examples/model/policy.rs
@@ -108,6 +108,7 @@
     fn context(&mut self, now: Timestamp) -> Context<'_> {
         Context {
             now,
+            newest: None,
             budgets: &mut self.budgets,
             suspects: &mut self.suspects,
             limits: &mut self.limits,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,9 +17,9 @@
 pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
-    Budgets, CallRates, Change, Changes, Expected, HttpPlatform, LegEnd, Limits, ListedInstance,
-    Listing, Object, ObjectKey, Platform, PlatformError, Settings, SettingsError, Suspects,
-    Upstreams,
+    Budgets, CallRates, Change, Changes, Choice, Expected, Extra, HttpPlatform, LegEnd, Limits,
+    ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, Seeking, Settings,
+    SettingsError, Suspects, Upstreams,
 };
 pub use request::{
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -9,6 +9,7 @@
 use super::tables::EntryState;
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
 use crate::types::{LegId, QueryId};
+use crate::version::Directory;
 
 /// Something for a worker to do.
 #[derive(Debug)]
@@ -35,8 +36,9 @@
     let Some(entry) = instance.tables.entry(id) else {
         return;
     };
+    let directory = instance.tables.directory();
     let mut state = entry.state.lock();
-    let actions = decide(instance, &mut state, event);
+    let actions = decide(instance, &directory, &mut state, event);
     let finished = state.query.is_finished();
     for action in actions {
         perform(instance, id, &mut state, action);
@@ -47,7 +49,12 @@
     }
 }
 
-fn decide(instance: &Instance, state: &mut EntryState, event: Option<Event>) -> Vec<Action> {
+fn decide(
+    instance: &Instance,
+    directory: &Directory,
+    state: &mut EntryState,
+    event: Option<Event>,
+) -> Vec<Action> {
     let mut budgets = instance.tables.budgets.lock();
     let mut suspects = instance.tables.suspects.lock();
     let mut limits = instance.tables.limits.lock();
@@ -55,6 +62,7 @@
     let mut rng = instance.tables.rng.lock();
     let mut cx = Context {
         now: instance.clock.now(),
+        newest: directory.newest_known(state.query.index()),
         suspects: &mut suspects,
         limits: &mut limits,
         upstreams: &mut upstreams,
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -61,6 +61,8 @@
             orders: Orders::new(Arc::clone(&platform), clock),
             platform,
         });
+        let home = instance.settings.failure_domain.clone();
+        instance.tables.upstreams.lock().set_home(home);
         pool::spawn(&instance, &queue, workers)?;
         instance.timer.spawn(clock, instance.jobs.clone())?;
         instance.orders.start();
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,9 +6,11 @@
 mod dispatch;
 mod follow;
 mod instance;
+mod latency;
 mod limits;
 mod lock;
 mod metrics;
+mod observed;
 mod orders;
 mod platform;
 mod pool;
@@ -28,7 +30,7 @@
 #[cfg(test)]
 mod sharing_ways;
 
-pub use budget::Budgets;
+pub use budget::{Budgets, Extra};
 pub use limits::Limits;
 pub use platform::{
     CallRates, Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey,
@@ -36,7 +38,7 @@
 };
 pub use settings::{Settings, SettingsError};
 pub use suspects::Suspects;
-pub use upstreams::{LegEnd, Upstreams};
+pub use upstreams::{Choice, LegEnd, Seeking, Upstreams};
 
 pub(crate) use clock::Clock;
 pub(crate) use dispatch::Job;
@@ -44,3 +46,4 @@
 pub(crate) use lock::{Rank, Ranked};
 pub(crate) use metrics::Metrics;
 pub(crate) use platform::Backoff;
+pub(crate) use upstreams::ClassLatency;
--- /dev/null
+++ b/src/process/upstreams_tests.rs
@@ -0,0 +1,250 @@
+//! The choice among replicas: who gets how many of the legs, and who gets none.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+use super::{Choice, LegEnd, Seeking, Upstreams};
+use crate::process::Limits;
+use crate::request::LegFailure;
+use crate::types::{ClassName, ConnectionCount, SlotCount, SnapshotId, Span, Timestamp};
+use crate::version::UpstreamSpec;
+
+const LEGS: usize = 2_000;
+const GAP: Span = Span::from_millis(5);
+
+fn spec(name: &str, domain: &str) -> Arc<UpstreamSpec> {
+    Arc::new(UpstreamSpec {
+        name: name.parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: domain.parse().unwrap(),
+        slots: SlotCount(100),
+        connections: ConnectionCount(25),
+        connect_cost: Span::from_millis(6),
+        leaving: false,
+    })
+}
+
+/// Two replicas of one shard and how they behave.
+struct Bench {
+    now: Timestamp,
+    upstreams: Upstreams,
+    limits: Limits,
+    rng: SmallRng,
+    replicas: Vec<Arc<UpstreamSpec>>,
+    took: [Span; 2],
+    class: ClassName,
+}
+
+impl Bench {
+    fn new(took_ms: [u64; 2]) -> Self {
+        Self {
+            now: Timestamp(0),
+            upstreams: Upstreams::default(),
+            limits: Limits::default(),
+            rng: SmallRng::seed_from_u64(7),
+            replicas: vec![spec("near", "suva-a"), spec("far", "labasa-a")],
+            took: took_ms.map(Span::from_millis),
+            class: "counter".parse().unwrap(),
+        }
+    }
+
+    fn choose(&mut self) -> Choice {
+        let seeking = Seeking {
+            replicas: &self.replicas,
+            tried: 0,
+            snapshot: SnapshotId(1),
+        };
+        self.upstreams
+            .choose(self.now, &self.limits, seeking, &mut self.rng)
+    }
+
+    fn end(&mut self, at: usize, took: Span, end: LegEnd) {
+        let spec = Arc::clone(&self.replicas[at]);
+        self.upstreams.begin(self.now, &spec);
+        self.upstreams.end(self.now, &spec, &self.class, took, end);
+    }
+
+    /// Sends legs one after the other and counts those of each replica.
+    fn run(&mut self, legs: usize) -> [usize; 2] {
+        let mut counts = [0; 2];
+        for _ in 0..legs {
+            if let Choice::Replica(at) = self.choose() {
+                counts[at] += 1;
+                self.end(at, self.took[at], LegEnd::Replied);
+            }
+            self.now = self.now + GAP;
+        }
+        counts
+    }
+
+    fn fail(&mut self, at: usize, failure: LegFailure) {
+        self.end(at, Span::ZERO, LegEnd::Failed(failure));
+    }
+}
+
+struct Share {
+    took_ms: [u64; 2],
+    first_replica: (usize, usize),
+}
+
+#[rstest]
+#[case::equal(Share { took_ms: [10, 10], first_replica: (800, 2_000) })]
+#[case::a_near_one(Share { took_ms: [10, 28], first_replica: (1_900, 1_999) })]
+#[case::a_straggler(Share { took_ms: [200, 10], first_replica: (1, 40) })]
+fn legs_go_where_they_are_quick_but_the_slow_one_is_still_looked_at(#[case] case: Share) {
+    let mut bench = Bench::new(case.took_ms);
+    bench.upstreams.set_home("suva-a".parse().unwrap());
+    let counts = bench.run(LEGS);
+    let (low, high) = case.first_replica;
+    assert!((low..=high).contains(&counts[0]), "{counts:?}");
+}
+
+#[test]
+fn a_straggler_that_recovers_gets_its_share_back() {
+    let mut bench = Bench::new([200, 12]);
+    bench.run(LEGS);
+    bench.took[0] = Span::from_millis(10);
+    bench.run(LEGS);
+    let counts = bench.run(LEGS);
+    assert!(counts[0] > LEGS / 2, "{counts:?}");
+}
+
+#[test]
+fn legs_under_way_count() {
+    let mut bench = Bench::new([10, 10]);
+    bench.run(100);
+    let mut counts = [0_usize; 2];
+    for _ in 0..100 {
+        let Choice::Replica(at) = bench.choose() else {
+            panic!("both have room");
+        };
+        let spec = Arc::clone(&bench.replicas[at]);
+        bench.upstreams.begin(bench.now, &spec);
+        counts[at] += 1;
+    }
+    assert!(counts[0].abs_diff(counts[1]) <= 20, "{counts:?}");
+}
+
+#[test]
+fn cancelled_legs_show_that_an_upstream_is_slow() {
+    let mut bench = Bench::new([10, 10]);
+    bench.run(100);
+    for _ in 0..10 {
+        bench.end(0, Span::from_millis(60), LegEnd::Cancelled);
+    }
+    let counts = bench.run(50);
+    assert!(counts[1] >= 45, "{counts:?}");
+}
+
+struct Excluded {
+    failure: LegFailure,
+    times: u32,
+    after: Span,
+    chosen: bool,
+}
+
+#[rstest]
+#[case::failed(Excluded {
+    failure: LegFailure::Failed, times: 1, after: Span::from_millis(499), chosen: false,
+})]
+#[case::failed_then_probed(Excluded {
+    failure: LegFailure::Failed, times: 1, after: Span::from_millis(501), chosen: true,
+})]
+#[case::draining(Excluded {
+    failure: LegFailure::Draining, times: 1, after: Span::from_millis(4_999), chosen: false,
+})]
+#[case::shedding(Excluded {
+    failure: LegFailure::Shed, times: 1, after: Span::from_millis(4), chosen: false,
+})]
+#[case::silent_is_not_its_fault(Excluded {
+    failure: LegFailure::Silent, times: 3, after: Span::ZERO, chosen: true,
+})]
+fn a_failure_keeps_an_upstream_out_for_a_while(#[case] case: Excluded) {
+    let mut bench = Bench::new([10, 30]);
+    bench.run(20);
+    for _ in 0..case.times {
+        bench.fail(0, case.failure);
+    }
+    bench.now = bench.now + case.after;
+    let chosen = (0..50).any(|_| bench.choose() == Choice::Replica(0));
+    assert_eq!(chosen, case.chosen);
+}
+
+#[test]
+fn failures_are_avoided_exponentially_longer() {
+    let mut bench = Bench::new([10, 10]);
+    bench.run(20);
+    let mut probes = 0;
+    for _ in 0..12_000 {
+        let Choice::Replica(at) = bench.choose() else {
+            panic!("one replica is well");
+        };
+        if at == 0 {
+            probes += 1;
+            bench.fail(0, LegFailure::Unreachable);
+        } else {
+            bench.end(1, Span::from_millis(10), LegEnd::Replied);
+        }
+        bench.now = bench.now + GAP;
+    }
+    assert!((5..=9).contains(&probes), "{probes} probes in a minute");
+}
+
+#[test]
+fn when_every_replica_failed_one_is_asked_all_the_same() {
+    let mut bench = Bench::new([10, 10]);
+    bench.fail(0, LegFailure::Lost);
+    bench.fail(1, LegFailure::Lost);
+    assert!(matches!(bench.choose(), Choice::Replica(_)));
+}
+
+struct Closed {
+    close: fn(&mut Bench),
+    gone: bool,
+}
+
+#[rstest]
+#[case::leaving(Closed {
+    close: |bench| {
+        for replica in &mut bench.replicas {
+            Arc::make_mut(replica).leaving = true;
+        }
+    },
+    gone: false,
+})]
+#[case::draining(Closed {
+    close: |bench| (0..2).for_each(|at| bench.fail(at, LegFailure::Draining)),
+    gone: false,
+})]
+#[case::snapshot_gone(Closed {
+    close: |bench| {
+        for at in 0..2 {
+            let spec = Arc::clone(&bench.replicas[at]);
+            bench.upstreams.lose(bench.now, &spec, SnapshotId(1));
+        }
+    },
+    gone: true,
+})]
+fn upstreams_that_leave_or_lost_the_snapshot_get_nothing(#[case] case: Closed) {
+    let mut bench = Bench::new([10, 10]);
+    (case.close)(&mut bench);
+    assert_eq!(bench.choose(), Choice::Nobody { gone: case.gone });
+}
+
+#[test]
+fn a_new_upstream_gets_a_share_that_grows() {
+    let mut bench = Bench::new([10, 10]);
+    let newcomer = bench.replicas.remove(0);
+    bench.replicas.push(spec("third", "suva-a"));
+    bench.run(LEGS);
+    bench.replicas[1] = newcomer;
+    bench.took = [Span::from_millis(12), Span::from_millis(8)];
+    let first = bench.run(200)[1];
+    bench.run(1_600);
+    let last = bench.run(200)[1];
+    assert!(first <= 40, "{first} of 200 in the first second");
+    assert!(last >= 100, "{last} of 200 in the tenth second");
+}
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use crate::error::Ran;
-use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, Timestamp, UpstreamName};
+use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, Timestamp};
 use crate::version::UpstreamSpec;
 
 /// What an upstream is asked.
@@ -108,10 +108,12 @@
     }
 }
 
-/// A leg that is under way, as its query remembers it.
-#[derive(Clone, Debug)]
-pub(crate) struct Leg {
-    pub(crate) shard_at: usize,
-    pub(crate) upstream: UpstreamName,
-    pub(crate) sent: Timestamp,
+/// A leg as its query remembers it, also after its end, so that nothing that comes
+/// late can be taken for a reply to another leg.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Leg {
+    pub(super) shard_at: usize,
+    pub(super) replica_at: usize,
+    pub(super) sent: Timestamp,
+    pub(super) open: bool,
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,12 +3,29 @@
 //! Nothing here reads a clock, touches a socket or knows an encoding. A [`Query`] is
 //! given events and returns actions; see `docs/DESIGN.md`, "Decisions".
 
+mod admit;
 mod answer;
+mod crashes;
+mod due;
+mod extra;
+mod hedge;
 mod leg;
+mod outcome;
 mod query;
+mod restart;
+mod send;
+mod shard;
 
+#[cfg(test)]
+mod crash_tests;
+#[cfg(test)]
+mod extra_tests;
+#[cfg(test)]
+mod harness_tests;
 #[cfg(test)]
 mod query_tests;
+#[cfg(test)]
+mod snapshot_tests;
 
 pub use answer::{Answer, Part};
 pub use leg::{LegFailure, LegReply, LegRequest};
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -1,15 +1,18 @@
-//! The decisions of one query, from its first legs to its answer.
+//! One query, from its first legs to its answer.
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 
+use super::crashes::Crashes;
+use super::due::DueTimes;
 use super::leg::Leg;
-use super::{Answer, LegFailure, LegReply, LegRequest, Part};
-use crate::error::{ErrorKind, Ran, Refusal};
-use crate::process::{Budgets, LegEnd, Limits, Suspects, Upstreams};
-use crate::types::{Coverage, Fingerprint, LegId, QueryId, Timestamp, UpstreamName};
+use super::restart::Previous;
+use super::shard::{Phase, ShardState};
+use super::{Answer, LegFailure, LegReply, LegRequest, admit};
+use crate::error::{Ran, Refusal};
+use crate::process::{Budgets, Extra, LegEnd, Limits, Suspects, Upstreams};
+use crate::types::{Fingerprint, IndexName, LegId, QueryId, Timestamp};
 use crate::version::{Class, Snapshot};
 
 /// What happens to a query.
@@ -43,6 +46,8 @@
 pub struct Context<'a> {
     /// The present.
     pub now: Timestamp,
+    /// The newest snapshot of the query's index, if any is known.
+    pub newest: Option<&'a Arc<Snapshot>>,
     /// The requests that crashed upstreams.
     pub suspects: &'a mut Suspects,
     /// This instance's share of every upstream's slots.
@@ -58,28 +63,35 @@
 /// One query under way.
 #[derive(Debug)]
 pub struct Query {
-    id: QueryId,
-    fingerprint: Fingerprint,
-    class: Arc<Class>,
-    snapshot: Arc<Snapshot>,
-    body: Arc<[u8]>,
-    started: Timestamp,
-    deadline: Timestamp,
-    shards: Vec<ShardState>,
-    legs: IndexMap<LegId, Leg>,
-    next_leg: u32,
-    ran: Ran,
+    pub(super) id: QueryId,
+    pub(super) fingerprint: Fingerprint,
+    pub(super) class: Arc<Class>,
+    pub(super) snapshot: Arc<Snapshot>,
+    pub(super) body: Arc<[u8]>,
+    pub(super) started: Timestamp,
+    pub(super) deadline: Timestamp,
+    pub(super) shards: Vec<ShardState>,
+    pub(super) legs: Vec<Leg>,
+    pub(super) due: DueTimes,
+    pub(super) crashes: Crashes,
+    /// Shards that are neither replied nor given up.
+    pub(super) unsettled: usize,
+    /// Shards that replied.
+    pub(super) replied: usize,
+    /// Legs under way.
+    pub(super) open_legs: usize,
+    /// Legs that provably did not run.
+    pub(super) not_run: usize,
+    /// Keys of the shards that were given up.
+    pub(super) lost_keys: u64,
+    /// Whether a shard was given up because its replicas lost the snapshot.
+    pub(super) snapshot_lost: bool,
+    pub(super) held: Vec<usize>,
+    pub(super) previous: Option<Previous>,
+    pub(super) restarts: u32,
     finished: bool,
 }
 
-#[derive(Debug, Default)]
-struct ShardState {
-    part: Option<Vec<u8>>,
-    tried: Vec<UpstreamName>,
-    hedge_at: Option<Timestamp>,
-    given_up: bool,
-}
-
 impl Query {
     /// A query over one snapshot that is to finish by `deadline`; [`Query::start`]
     /// sends its first legs.
@@ -92,11 +104,9 @@
         started: Timestamp,
         deadline: Timestamp,
     ) -> Self {
-        let shards = snapshot
-            .shards
-            .iter()
-            .map(|_| ShardState::default())
-            .collect();
+        let count = snapshot.shards.len();
+        let mut shards = Vec::with_capacity(count);
+        shards.resize_with(count, ShardState::default);
         Self {
             id,
             fingerprint: Fingerprint::of(&class.name, &body),
@@ -106,19 +116,36 @@
             started,
             deadline,
             shards,
-            legs: IndexMap::new(),
-            next_leg: 0,
-            ran: Ran::NotRun,
+            legs: Vec::with_capacity(count),
+            due: DueTimes::default(),
+            crashes: Crashes::default(),
+            unsettled: count,
+            replied: 0,
+            open_legs: 0,
+            not_run: 0,
+            lost_keys: 0,
+            snapshot_lost: false,
+            held: Vec::new(),
+            previous: None,
+            restarts: 0,
             finished: false,
         }
     }
 
-    /// Sends one leg to each shard.
+    /// The index that it queries.
+    #[must_use]
+    pub fn index(&self) -> &IndexName {
+        &self.snapshot.index
+    }
+
+    /// Sends one leg to each shard, or refuses when the query cannot finish in time.
     pub fn start(&mut self, cx: &mut Context<'_>) -> Vec<Action> {
         let mut actions = vec![Action::WakeAt(self.deadline)];
-        for shard_at in 0..self.shards.len() {
-            self.send(cx, shard_at, &mut actions);
+        if let Err(refusal) = admit::admit(cx, &self.class, self.deadline) {
+            self.finish(cx, Some(Err(refusal)), &mut actions);
+            return actions;
         }
+        self.send_first_legs(cx, &mut actions);
         self.settle(cx, &mut actions);
         actions
     }
@@ -133,10 +160,7 @@
             Event::Reply(leg, reply) => self.on_reply(cx, leg, reply, &mut actions),
             Event::Failure(leg, failure) => self.on_failure(cx, leg, failure, &mut actions),
             Event::Wake => self.on_wake(cx, &mut actions),
-            Event::CallerGone => {
-                self.finish(cx, None, &mut actions);
-                return actions;
-            }
+            Event::CallerGone => self.finish(cx, None, &mut actions),
         }
         self.settle(cx, &mut actions);
         actions
@@ -148,6 +172,12 @@
         self.finished
     }
 
+    pub(super) fn send_first_legs(&mut self, cx: &mut Context<'_>, actions: &mut Vec<Action>) {
+        for shard_at in 0..self.shards.len() {
+            self.attempt(cx, shard_at, None, actions);
+        }
+    }
+
     fn on_reply(
         &mut self,
         cx: &mut Context<'_>,
@@ -155,21 +185,27 @@
         reply: LegReply,
         actions: &mut Vec<Action>,
     ) {
-        let Some(leg) = self.legs.get(&id) else {
+        let Some(leg) = self.open_leg(id) else {
             return;
         };
-        let shard_at = leg.shard_at;
+        let shard = &self.snapshot.shards[leg.shard_at];
         let ours = reply.query == self.id
             && reply.leg == id
             && reply.snapshot == self.snapshot.id
-            && reply.range == self.snapshot.shards[shard_at].range;
+            && reply.range == shard.range;
         if !ours {
             self.on_failure(cx, id, LegFailure::Mangled, actions);
             return;
         }
         self.end_leg(cx, id, LegEnd::Replied);
-        self.shards[shard_at].part = Some(reply.body);
-        self.cancel_legs_of(cx, shard_at, actions);
+        cx.suspects.replied(cx.now, self.fingerprint);
+        self.cancel_legs_of(cx, leg.shard_at, actions);
+        self.shards[leg.shard_at].phase = Phase::Replied(reply.body);
+        self.unsettled -= 1;
+        self.replied += 1;
+        if self.crashes.on_reply() {
+            self.release_held(cx, actions);
+        }
     }
 
     fn on_failure(
@@ -182,120 +218,62 @@
         let Some(leg) = self.end_leg(cx, id, LegEnd::Failed(failure)) else {
             return;
         };
-        if failure.ran() == Ran::MayHaveRun {
-            self.ran = Ran::MayHaveRun;
+        if failure == LegFailure::Lost {
+            self.on_crash(cx, leg);
+        }
+        if matches!(failure, LegFailure::Shed | LegFailure::NoShare) {
+            self.shards[leg.shard_at].forget(leg.replica_at);
+        }
+        let other_leg = self.shards[leg.shard_at].open_legs().next().is_some();
+        if other_leg {
+            return;
         }
-        let poison = cx.suspects.is_poison(cx.now, self.fingerprint);
-        let allowed = self.class.targets.repeatable || failure.ran() == Ran::NotRun;
-        let may_retry = allowed && !poison;
-        let other_leg = self
-            .legs
-            .values()
-            .any(|other| other.shard_at == leg.shard_at);
-        if may_retry && !other_leg && cx.budgets.take(&self.class) {
-            self.send(cx, leg.shard_at, actions);
-        } else if !other_leg {
-            self.shards[leg.shard_at].given_up = true;
+        let extra = match failure.ran() {
+            Ran::NotRun => Extra::Move,
+            Ran::MayHaveRun => Extra::Retry,
+        };
+        let allowed = self.class.targets.repeatable || extra == Extra::Move;
+        if allowed && self.shards[leg.shard_at].has_legs_left() {
+            self.attempt(cx, leg.shard_at, Some(extra), actions);
+        } else {
+            self.give_up(leg.shard_at);
         }
     }
 
     fn on_wake(&mut self, cx: &mut Context<'_>, actions: &mut Vec<Action>) {
-        if !self.class.targets.repeatable {
+        if cx.now >= self.deadline {
             return;
         }
-        for shard_at in 0..self.shards.len() {
+        while let Some((at, shard_at)) = self.due.pop(cx.now) {
             let shard = &mut self.shards[shard_at];
-            let due = shard.hedge_at.is_some_and(|at| at <= cx.now);
-            if !due || shard.part.is_some() {
+            if shard.due != Some(at) {
                 continue;
             }
-            shard.hedge_at = None;
-            if cx.budgets.take(&self.class) {
-                self.send(cx, shard_at, actions);
+            shard.due = None;
+            match shard.phase {
+                Phase::Waiting(extra, _) => self.attempt(cx, shard_at, extra, actions),
+                Phase::UnderWay => self.hedge(cx, shard_at, actions),
+                Phase::New | Phase::Held(_) | Phase::Replied(_) | Phase::GivenUp => {}
             }
         }
     }
 
-    fn send(&mut self, cx: &mut Context<'_>, shard_at: usize, actions: &mut Vec<Action>) {
-        let shard = &self.snapshot.shards[shard_at];
-        let state = &mut self.shards[shard_at];
-        let chosen = cx
-            .upstreams
-            .choose(cx.now, &shard.replicas, &state.tried, cx.rng);
-        let Some(upstream) = chosen else {
-            let under_way = self.legs.values().any(|leg| leg.shard_at == shard_at);
-            state.given_up = !under_way;
+    /// Finishes when there is nothing left to wait for, else says when to be woken.
+    fn settle(&mut self, cx: &mut Context<'_>, actions: &mut Vec<Action>) {
+        if self.finished {
             return;
-        };
-        let leg = LegId(self.next_leg);
-        self.next_leg += 1;
-        state.tried.push(upstream.name.clone());
-        let hedge_after = cx.upstreams.hedge_after(&upstream.name);
-        if self.class.targets.repeatable && state.tried.len() == 1 {
-            let at = cx.now + hedge_after;
-            state.hedge_at = Some(at);
-            actions.push(Action::WakeAt(at));
         }
-        cx.limits.take(cx.now, &upstream);
-        cx.upstreams.begin(&upstream.name, cx.now);
-        cx.budgets.earn(&self.class);
-        self.legs.insert(
-            leg,
-            Leg {
-                shard_at,
-                upstream: upstream.name.clone(),
-                sent: cx.now,
-            },
-        );
-        actions.push(Action::Send(LegRequest {
-            query: self.id,
-            leg,
-            upstream,
-            snapshot: self.snapshot.id,
-            shard: shard.id,
-            range: shard.range,
-            time_left: self.deadline.since(cx.now),
-            body: Arc::clone(&self.body),
-        }));
-    }
-
-    fn end_leg(&mut self, cx: &mut Context<'_>, id: LegId, end: LegEnd) -> Option<Leg> {
-        let leg = self.legs.shift_remove(&id)?;
-        let took = cx.now.since(leg.sent);
-        cx.limits.observe(cx.now, &leg.upstream, end, took);
-        cx.limits.give(cx.now, &leg.upstream, took);
-        cx.upstreams.end(&leg.upstream, cx.now, end);
-        match end {
-            LegEnd::Replied => cx.suspects.replied(cx.now, self.fingerprint),
-            LegEnd::Failed(LegFailure::Lost) => {
-                cx.suspects.crashed(cx.now, self.fingerprint, &leg.upstream);
-            }
-            LegEnd::Failed(_) | LegEnd::Cancelled => {}
-        }
-        Some(leg)
-    }
-
-    fn cancel_legs_of(&mut self, cx: &mut Context<'_>, shard_at: usize, actions: &mut Vec<Action>) {
-        let others: Vec<LegId> = self
-            .legs
-            .iter()
-            .filter(|(_, leg)| leg.shard_at == shard_at)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in others {
-            self.end_leg(cx, id, LegEnd::Cancelled);
-            actions.push(Action::Cancel(id));
+        self.restart_if_worthwhile(cx, actions);
+        if self.open_legs == 0 && !self.held.is_empty() {
+            self.probe_held(cx, actions);
         }
-    }
-
-    fn settle(&mut self, cx: &mut Context<'_>, actions: &mut Vec<Action>) {
-        let all_settled = self
-            .shards
-            .iter()
-            .all(|shard| shard.part.is_some() || shard.given_up);
-        if all_settled || cx.now >= self.deadline {
+        if self.unsettled == 0 || cx.now >= self.deadline {
             let outcome = self.outcome(cx);
             self.finish(cx, Some(outcome), actions);
+            return;
+        }
+        if let Some(at) = self.due.arm(cx.now) {
+            actions.push(Action::WakeAt(at));
         }
     }
 
@@ -306,50 +284,7 @@
         actions: &mut Vec<Action>,
     ) {
         self.finished = true;
-        for shard_at in 0..self.shards.len() {
-            self.cancel_legs_of(cx, shard_at, actions);
-        }
+        self.cancel_all(cx, actions);
         actions.extend(outcome.map(Action::Finish));
     }
-
-    fn outcome(&mut self, cx: &Context<'_>) -> Result<Answer, Refusal> {
-        let mut parts = Vec::with_capacity(self.shards.len());
-        for (state, shard) in self.shards.iter_mut().zip(&self.snapshot.shards) {
-            if let Some(body) = state.part.take() {
-                parts.push(Part {
-                    shard: shard.id,
-                    range: shard.range,
-                    body,
-                });
-            }
-        }
-        if parts.is_empty() {
-            return Err(self.refusal(cx));
-        }
-        let coverage: Coverage = parts.iter().map(|part| part.range).collect();
-        Ok(Answer {
-            query: self.id,
-            snapshot: self.snapshot.id,
-            meets_target: coverage.ratio() >= self.class.targets.coverage,
-            coverage,
-            parts,
-            legs: self.next_leg,
-            took: cx.now.since(self.started),
-        })
-    }
-
-    fn refusal(&self, cx: &Context<'_>) -> Refusal {
-        let under_way = !self.legs.is_empty();
-        if under_way {
-            let detail = format!("no shard replied in {}", cx.now.since(self.started));
-            return Refusal::new(ErrorKind::OutOfTime, detail);
-        }
-        match self.ran {
-            Ran::NotRun => Refusal::new(ErrorKind::NoUpstream, "no upstream accepted the request"),
-            Ran::MayHaveRun => Refusal::new(
-                ErrorKind::UpstreamFailed,
-                "every upstream that was tried failed",
-            ),
-        }
-    }
 }
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -48,16 +48,18 @@
     /// # Errors
     /// [`ErrorKind::NoSnapshot`] when none is published.
     pub fn newest(&self, index: &IndexName) -> Result<Arc<Snapshot>, Refusal> {
-        self.indexes
-            .get(index)
-            .and_then(|index| index.snapshots.first())
-            .cloned()
-            .ok_or_else(|| {
-                Refusal::new(
-                    ErrorKind::NoSnapshot,
-                    format!("index {index} has no snapshot"),
-                )
-            })
+        self.newest_known(index).cloned().ok_or_else(|| {
+            Refusal::new(
+                ErrorKind::NoSnapshot,
+                format!("index {index} has no snapshot"),
+            )
+        })
+    }
+
+    /// The newest snapshot of an index, if any is published.
+    #[must_use]
+    pub fn newest_known(&self, index: &IndexName) -> Option<&Arc<Snapshot>> {
+        self.indexes.get(index)?.snapshots.first()
     }
 
     /// This directory with other classes, unless they are older than its own.
