Refuse at once what does not fit

Cause: every query was let in, so above capacity all were late. Ruled out: a queue with a time limit, a fixed bound, a rate for each caller (docs/DESIGN.md, Admission); parts counted with one more holder, by which a class alone held its part and its second caller got 10 of 1,200 answers (found by a test); a first window of 64, which took 1 s to shrink and left a light class 897 of 1,000 beside a heavy one.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,9 +17,9 @@
 pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
-    Budgets, CallRates, Change, Changes, Choice, Expected, Extra, HttpPlatform, LegEnd, Limits,
-    ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, Seeking, Settings,
-    SettingsError, Suspects, Upstreams,
+    Admission, Budgets, CallRates, Change, Changes, Choice, Entrant, Expected, Extra, HttpPlatform,
+    LegEnd, Limits, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, QueryEnd,
+    Seeking, Settings, SettingsError, Suspects, Ticket, Upstreams,
 };
 pub use request::{
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
--- /dev/null
+++ b/src/process/admitted.rs
@@ -0,0 +1,67 @@
+//! The place of a query that was let in, given back however the query ends.
+
+use super::Instance;
+use super::admission::{Entrant, QueryEnd, Ticket};
+use crate::error::{ErrorKind, Refusal};
+use crate::request::{Answer, Inquiry};
+use crate::types::ByteCount;
+
+/// A query that was let in; dropping it gives its place back.
+#[derive(Debug)]
+pub(super) struct Admitted<'a> {
+    instance: &'a Instance,
+    ticket: Option<Ticket>,
+}
+
+impl Instance {
+    /// Lets a query in, or refuses it before anything is done for it.
+    ///
+    /// # Errors
+    /// [`ErrorKind::UnknownClass`] and [`ErrorKind::Overloaded`]; neither ran.
+    pub(super) fn enter(&self, inquiry: &Inquiry) -> Result<Admitted<'_>, Refusal> {
+        let class = self.tables.directory().class(&inquiry.class)?;
+        let entrant = Entrant {
+            class: &class,
+            caller: &inquiry.caller,
+            bytes: ByteCount(inquiry.body.len() as u64),
+        };
+        let now = self.clock.now();
+        let ticket = self.tables.admission.lock().admit(now, entrant)?;
+        Ok(Admitted {
+            instance: self,
+            ticket: Some(ticket),
+        })
+    }
+}
+
+impl Admitted<'_> {
+    /// Gives the place back and says how the query ended.
+    pub(super) fn close(mut self, outcome: &Result<Answer, Refusal>) {
+        self.end(end_of(outcome));
+    }
+
+    fn end(&mut self, end: QueryEnd) {
+        if let Some(ticket) = self.ticket.take() {
+            let now = self.instance.clock.now();
+            self.instance.tables.admission.lock().end(now, ticket, end);
+        }
+    }
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        self.end(QueryEnd::Other);
+    }
+}
+
+fn end_of(outcome: &Result<Answer, Refusal>) -> QueryEnd {
+    match outcome {
+        Ok(answer) => QueryEnd::Answered {
+            took: answer.took,
+            meets_target: answer.meets_target,
+            coverage: answer.coverage.ratio(),
+        },
+        Err(refusal) if refusal.kind == ErrorKind::OutOfTime => QueryEnd::OutOfTime,
+        Err(_) => QueryEnd::Other,
+    }
+}
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -96,6 +96,7 @@
         gone: impl Future<Output = ()> + Unpin,
     ) -> Result<Answer, Refusal> {
         let started = self.clock.now();
+        let admitted = self.enter(&inquiry)?;
         let mut claim = self.claim(&inquiry, started).await?;
         let (id, answer) = self.admit(inquiry, started)?;
         if let Some(claim) = &mut claim {
@@ -105,6 +106,7 @@
         if let Some(claim) = claim {
             claim.close(&outcome);
         }
+        admitted.close(&outcome);
         outcome
     }
 
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -16,6 +16,8 @@
 pub(crate) enum Rank {
     /// The directory of classes and indexes.
     Directory,
+    /// Who has queries under way.
+    Admission,
     /// The queries under way, by id.
     Queries,
     /// One query.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,10 +1,13 @@
 //! What lives for a process: the shared tables, the pool of workers over them, the
 //! clock, the settings and the edge towards the platform.
 
+mod admission;
+mod admitted;
 mod budget;
 mod clock;
 mod dispatch;
 mod follow;
+mod gate;
 mod instance;
 mod latency;
 mod limits;
@@ -21,6 +24,8 @@
 mod upstreams;
 mod window;
 
+#[cfg(test)]
+mod admission_tests;
 #[cfg(test)]
 mod limits_tests;
 #[cfg(test)]
@@ -30,6 +35,7 @@
 #[cfg(test)]
 mod sharing_ways;
 
+pub use admission::{Admission, Entrant, QueryEnd, Ticket};
 pub use budget::{Budgets, Extra};
 pub use limits::Limits;
 pub use platform::{
--- a/src/process/tables.rs
+++ b/src/process/tables.rs
@@ -8,7 +8,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{Budgets, Limits, Rank, Ranked, Suspects, Upstreams};
+use super::{Admission, Budgets, Limits, Rank, Ranked, Suspects, Upstreams};
 use crate::error::Refusal;
 use crate::request::{Answer, Query};
 use crate::types::{LegId, QueryId};
@@ -18,6 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct Tables {
     pub(crate) directory: Ranked<Arc<Directory>>,
+    pub(crate) admission: Ranked<Admission>,
     pub(crate) queries: Ranked<IndexMap<QueryId, Arc<Entry>>>,
     pub(crate) budgets: Ranked<Budgets>,
     pub(crate) suspects: Ranked<Suspects>,
@@ -44,6 +45,7 @@
     pub(crate) fn new(seed: u64) -> Self {
         Self {
             directory: Ranked::new(Rank::Directory, Arc::default()),
+            admission: Ranked::new(Rank::Admission, Admission::default()),
             queries: Ranked::new(Rank::Queries, IndexMap::new()),
             budgets: Ranked::new(Rank::Budgets, Budgets::default()),
             suspects: Ranked::new(Rank::Suspects, Suspects::default()),
