Agree on who is alive through leased cells

Cause: every instance followed the platform by itself and divided limits by one. Ways weighed: a lease for each instance (2,600 writes/s at 7,900 instances, above the platform's rate), a watch for each (7,900 waiting calls), gossip alone (no fence).

Heartbeats carry what changed since the last one; objects are fetched on difference. A planned stop leaves the addresses, waits, drains and hands on the lease.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -7,7 +7,9 @@
 use clap::{Args, Parser, Subcommand};
 
 use crate::process::{CallRates, Settings};
-use crate::types::{ByteCount, ClassName, FailureDomain, InstanceName, PerSecond, Region, Span};
+use crate::types::{
+    ByteCount, ClassName, FailureDomain, InstanceName, PeerKey, PerSecond, Region, Span,
+};
 
 /// A query tier over many shards.
 #[derive(Clone, Debug)]
@@ -37,6 +39,32 @@
     /// Where callers and operators connect.
     #[arg(long, env = "HYSSOPWALK_LISTEN", default_value = "127.0.0.1:7400")]
     pub(crate) listen: SocketAddr,
+    /// Where other instances connect; a free port of the address in --listen when
+    /// absent.
+    #[arg(long, env = "HYSSOPWALK_PEER_LISTEN")]
+    pub(crate) peer_listen: Option<SocketAddr>,
+    /// The keys that instances prove to each other that they have, separated by
+    /// commas; without one the instance speaks with no other.
+    #[arg(
+        long,
+        env = "HYSSOPWALK_PEER_KEYS",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub(crate) peer_keys: Vec<PeerKey>,
+    /// Where other instances connect that are asked while the platform is away,
+    /// separated by commas.
+    #[arg(long, env = "HYSSOPWALK_SEEDS", value_delimiter = ',')]
+    pub(crate) seeds: Vec<SocketAddr>,
+    /// The time between two heartbeats.
+    #[arg(long, env = "HYSSOPWALK_HEARTBEAT", default_value = "1s")]
+    pub(crate) heartbeat: Span,
+    /// How long callers may keep the addresses they were given.
+    #[arg(long, env = "HYSSOPWALK_ADDRESS_KEEP", default_value = "10s")]
+    pub(crate) address_keep: Span,
+    /// How long a planned stop waits for requests that still run.
+    #[arg(long, env = "HYSSOPWALK_DRAIN", default_value = "10s")]
+    pub(crate) drain: Span,
     /// Where the platform's object API answers.
     #[arg(long, env = "HYSSOPWALK_PLATFORM")]
     pub(crate) platform: SocketAddr,
@@ -122,6 +150,14 @@
         Self {
             name: args.name,
             listen: args.listen,
+            peer_listen: args
+                .peer_listen
+                .unwrap_or(SocketAddr::new(args.listen.ip(), 0)),
+            peer_keys: args.peer_keys,
+            seeds: args.seeds,
+            heartbeat: args.heartbeat,
+            address_keep: args.address_keep,
+            drain: args.drain,
             platform: args.platform,
             platform_rates: CallRates {
                 reads: args.platform_reads,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -1,14 +1,27 @@
-//! `hyssopwalk serve`: runs an instance.
+//! `hyssopwalk serve`: runs an instance until it is told to stop.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use anyhow::{Context, Result, bail};
+use async_signal::{Signal, Signals};
+use async_std::future::timeout;
 use async_std::net::TcpListener;
+use async_std::task::JoinHandle;
+use futures::StreamExt;
 use tracing_subscriber::EnvFilter;
 
 use super::ServeArgs;
 use crate::connection;
-use crate::process::{Instance, Settings};
+use crate::process::{Instance, Settings, Step};
+use crate::types::Span;
+
+/// Requests were cut off because a planned stop did not finish in time.
+const EXIT_OUT_OF_TIME: u8 = 3;
+/// Requests may have been cut off because of a second signal.
+const EXIT_ABANDONED: u8 = 4;
+const LOOK_AGAIN: Span = Span::from_millis(20);
 
 impl ServeArgs {
     pub(crate) fn run(self) -> Result<ExitCode> {
@@ -36,15 +49,85 @@
         .init();
 }
 
-async fn serve(settings: Settings) -> Result<ExitCode> {
+async fn serve(mut settings: Settings) -> Result<ExitCode> {
+    let signals =
+        Signals::new([Signal::Term, Signal::Int]).context("could not listen for signals")?;
     let listen = settings.listen;
+    let listener = bind(listen).await?;
+    let peer_listener = bind(settings.peer_listen).await?;
+    settings.peer_listen = peer_listener.local_addr()?;
     let instance = Instance::start(settings).context("could not start the instance")?;
-    let listener = TcpListener::bind(listen)
-        .await
-        .with_context(|| format!("could not listen on {listen}"))?;
+    let peers = connection::accept_peers(Arc::clone(&instance), peer_listener);
+    async_std::task::spawn(peers);
+    let accepting = async_std::task::spawn(connection::accept(Arc::clone(&instance), listener));
     tracing::info!(name = %instance.settings.name, %listen, "serving");
-    connection::accept(instance, listener)
+    stop_when_told(&instance, signals, accepting).await
+}
+
+async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
         .await
-        .context("could not accept connections")?;
-    Ok(ExitCode::SUCCESS)
+        .with_context(|| format!("could not listen on {addr}"))
+}
+
+async fn stop_when_told(
+    instance: &Instance,
+    mut signals: Signals,
+    accepting: JoinHandle<std::io::Result<()>>,
+) -> Result<ExitCode> {
+    let mut accepting = Some(accepting);
+    loop {
+        match next_step(instance, &mut signals).await {
+            Step::Leave => {
+                tracing::info!("leaving; callers are sent elsewhere");
+                instance.leave();
+            }
+            Step::StopAccepting => {
+                tracing::info!("accepts no more; finishes what runs");
+                if let Some(accepting) = accepting.take() {
+                    accepting.cancel().await;
+                }
+            }
+            Step::HandOn(lost) => {
+                instance.hand_on().await;
+                tracing::info!(%lost, "stopped");
+                return Ok(if lost.0 == 0 {
+                    ExitCode::SUCCESS
+                } else {
+                    ExitCode::from(EXIT_OUT_OF_TIME)
+                });
+            }
+            Step::Abandon(lost) => {
+                tracing::warn!(%lost, "stopped by a second signal; requests were cut off");
+                return Ok(ExitCode::from(EXIT_ABANDONED));
+            }
+        }
+    }
+}
+
+async fn next_step(instance: &Instance, signals: &mut Signals) -> Step {
+    let mut began = false;
+    loop {
+        let signal = if began {
+            timeout(LOOK_AGAIN.as_duration(), signals.next())
+                .await
+                .ok()
+                .flatten()
+        } else {
+            began = instance.shutdown.lock().closes_connections();
+            if began {
+                continue;
+            }
+            signals.next().await
+        };
+        let now = instance.clock.now();
+        let mut shutdown = instance.shutdown.lock();
+        let step = match signal {
+            Some(_) => Some(shutdown.on_signal(now)),
+            None => shutdown.on_time(now),
+        };
+        if let Some(step) = step {
+            return step;
+        }
+    }
 }
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -2,11 +2,14 @@
 
 use std::sync::Arc;
 
+use async_h1::server::ConnectionStatus;
 use async_std::net::{TcpListener, TcpStream};
+use tide::http::headers::CONNECTION;
 use tide::http::{Request, Response};
 
+use super::active::Active;
 use super::hangup::Hangup;
-use super::query_api;
+use super::{address_api, query_api};
 use crate::process::Instance;
 
 /// What every handler is given.
@@ -28,6 +31,7 @@
     let mut app = tide::with_state(instance);
     app.at("/v1/classes/:class/query").post(query_api::post);
     app.at("/metrics").get(metrics);
+    address_api::route(&mut app);
     app
 }
 
@@ -36,13 +40,32 @@
         tracing::debug!(%error, "could not set TCP_NODELAY");
     }
     let hangup = Hangup::new(stream.clone());
-    let served = async_h1::accept(stream, |mut req: Request| {
+    let instance = Arc::clone(app.state());
+    let active = Active::new(&instance);
+    let mut server = async_h1::server::Server::new(stream, |mut req: Request| {
         let app = app.clone();
         req.ext_mut().insert(hangup.clone());
-        async move { app.respond::<_, Response>(req).await }
+        active.begin();
+        let instance = Arc::clone(&instance);
+        async move {
+            let mut res = app.respond::<_, Response>(req).await?;
+            if instance.shutdown.lock().closes_connections() {
+                res.insert_header(CONNECTION, "close");
+            }
+            Ok(res)
+        }
     });
-    if let Err(error) = served.await {
-        tracing::debug!(%error, "a caller's connection ended early");
+    loop {
+        let accepted = server.accept_one().await;
+        active.end();
+        match accepted {
+            Ok(ConnectionStatus::KeepAlive) => {}
+            Ok(ConnectionStatus::Close) => break,
+            Err(error) => {
+                tracing::debug!(%error, "a caller's connection ended early");
+                break;
+            }
+        }
     }
 }
 
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,8 @@
 //! What lives for a connection: callers' and operators' over HTTP/1.1, and those to
 //! upstreams over HTTP/2. Encodings stay in here, decisions elsewhere.
 
+mod active;
+mod address_api;
 mod backoff;
 mod conn;
 mod front;
@@ -9,6 +11,10 @@
 mod heartbeat;
 mod leg_wire;
 mod links;
+mod peer;
+mod peer_auth;
+mod peer_server;
+mod peer_wire;
 mod pool;
 mod query_api;
 mod query_wire;
@@ -21,5 +27,8 @@
 
 pub(crate) use front::accept;
 pub(crate) use links::Links;
+pub(crate) use peer::Peers;
+pub(crate) use peer_server::accept as accept_peers;
 
+pub use address_api::{AddressWire, AddressesWire, CellStatusWire, MemberStatusWire, MembersWire};
 pub use query_wire::{AnswerWire, CoverageWire, PartWire, RefusalWire};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,7 +14,10 @@
 mod version;
 
 pub use cmd::{Cmd, LoadArgs, ServeArgs};
-pub use connection::{AnswerWire, CoverageWire, PartWire, RefusalWire};
+pub use connection::{
+    AddressWire, AddressesWire, AnswerWire, CellStatusWire, CoverageWire, MemberStatusWire,
+    MembersWire, PartWire, RefusalWire,
+};
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
     Admission, Budgets, CallRates, Change, Changes, Choice, Entrant, Expected, Extra, HttpPlatform,
@@ -25,10 +28,10 @@
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
 };
 pub use types::{
-    ByteCount, CallerName, ClassName, ConfigVersion, ConnectionCount, Coverage, FailureDomain,
-    Fingerprint, IdempotencyKey, IndexName, InstanceName, KeyRange, LegId, ObjectVersion,
-    ParseError, PerSecond, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span,
-    Timestamp, UnixSeconds, UpstreamName,
+    ByteCount, CallerName, CellSeq, ClassName, ConfigVersion, ConnectionCount, Coverage, Epoch,
+    FailureDomain, Fingerprint, IdempotencyKey, Incarnation, IndexName, InstanceName, KeyRange,
+    LegId, ObjectVersion, ParseError, PeerKey, PerSecond, Position, QueryId, Ratio, Region,
+    Revision, ShardId, SlotCount, SnapshotId, Span, Timestamp, UnixSeconds, UpstreamName,
 };
 pub use version::{
     Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire, Snapshot,
--- /dev/null
+++ b/src/process/cell_table.rs
@@ -0,0 +1,156 @@
+//! The summaries of all cells, kept so that a peer can be sent only what changed.
+
+use indexmap::IndexMap;
+
+use super::cells::{CellId, CellVersion, Member, Summary};
+use super::exchange::CellDelta;
+use crate::types::{InstanceName, Position};
+
+const REMOVED_KEPT: usize = 64;
+
+/// The latest summary of each cell.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CellTable {
+    cells: IndexMap<CellId, Cell>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Cell {
+    version: CellVersion,
+    members: IndexMap<InstanceName, (Member, Position)>,
+    removed: IndexMap<InstanceName, Position>,
+    whole_before: Position,
+}
+
+impl CellTable {
+    /// Every cell that is known.
+    pub(crate) fn ids(&self) -> impl Iterator<Item = &CellId> {
+        self.cells.keys()
+    }
+
+    /// The version of a cell's summary; the lowest when the cell is not known.
+    pub(crate) fn version(&self, cell: &CellId) -> CellVersion {
+        self.cells
+            .get(cell)
+            .map(|cell| cell.version)
+            .unwrap_or_default()
+    }
+
+    /// Every instance of every cell; one that moved is there twice.
+    pub(crate) fn members(&self) -> impl Iterator<Item = &Member> {
+        let members = self.cells.values().flat_map(|cell| cell.members.values());
+        members.map(|(member, _)| member)
+    }
+
+    /// A cell's summary.
+    pub(crate) fn summary(&self, cell: &CellId) -> Option<Summary> {
+        let known = self.cells.get(cell)?;
+        let members = known.members.iter();
+        Some(Summary {
+            cell: cell.clone(),
+            version: known.version,
+            members: members
+                .map(|(name, (member, _))| (name.clone(), member.clone()))
+                .collect(),
+        })
+    }
+
+    /// Takes a whole summary, unless one as new is known.
+    pub(crate) fn adopt(&mut self, summary: &Summary, at: Position) -> bool {
+        let known = self.cells.get(&summary.cell);
+        if known.is_some_and(|cell| cell.version >= summary.version) {
+            return false;
+        }
+        let begun = Cell {
+            whole_before: at,
+            ..Cell::default()
+        };
+        let cell = self.cells.entry(summary.cell.clone()).or_insert(begun);
+        cell.version = summary.version;
+        let gone: Vec<InstanceName> = cell
+            .members
+            .keys()
+            .filter(|name| !summary.members.contains_key(*name))
+            .cloned()
+            .collect();
+        for name in &gone {
+            cell.remove(name, at);
+        }
+        for member in summary.members.values() {
+            cell.put(member, at);
+        }
+        true
+    }
+
+    /// Takes what changed, unless a summary as new is known.
+    pub(crate) fn adopt_delta(&mut self, delta: &CellDelta, at: Position) -> bool {
+        if delta.whole {
+            let members = delta.changed.iter();
+            let summary = Summary {
+                cell: delta.cell.clone(),
+                version: delta.version,
+                members: members
+                    .map(|member| (member.name.clone(), member.clone()))
+                    .collect(),
+            };
+            return self.adopt(&summary, at);
+        }
+        let Some(cell) = self.cells.get_mut(&delta.cell) else {
+            return false;
+        };
+        if cell.version >= delta.version {
+            return false;
+        }
+        cell.version = delta.version;
+        for name in &delta.removed {
+            cell.remove(name, at);
+        }
+        for member in &delta.changed {
+            cell.put(member, at);
+        }
+        true
+    }
+
+    /// What changed in a cell after `seen`.
+    pub(crate) fn delta(&self, id: &CellId, seen: Position) -> Option<CellDelta> {
+        let cell = self.cells.get(id)?;
+        let whole = seen < cell.whole_before;
+        let changed = cell.members.values();
+        let removed = cell.removed.iter().filter(|(_, at)| !whole && **at > seen);
+        Some(CellDelta {
+            cell: id.clone(),
+            version: cell.version,
+            whole,
+            changed: changed
+                .filter(|(_, at)| whole || *at > seen)
+                .map(|(member, _)| member.clone())
+                .collect(),
+            removed: removed.map(|(name, _)| name.clone()).collect(),
+        })
+    }
+}
+
+impl Cell {
+    fn put(&mut self, member: &Member, at: Position) {
+        let known = self.members.get(&member.name);
+        if known.is_some_and(|(known, _)| known == member) {
+            return;
+        }
+        self.removed.shift_remove(&member.name);
+        self.members
+            .insert(member.name.clone(), (member.clone(), at));
+    }
+
+    fn remove(&mut self, name: &InstanceName, at: Position) {
+        if self.members.shift_remove(name).is_none() {
+            return;
+        }
+        self.removed.shift_remove(name);
+        self.removed.insert(name.clone(), at);
+        if self.removed.len() > REMOVED_KEPT
+            && let Some((_, oldest)) = self.removed.shift_remove_index(0)
+        {
+            self.whole_before = oldest;
+        }
+    }
+}
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -1,42 +1,68 @@
-//! Keeps the directory in step with the platform's objects.
+//! Keeps the directory and the cells in step with the platform's objects.
+//!
+//! Only a leader, or an instance without one, watches the platform; see
+//! `docs/DESIGN.md`, "Membership".
 
 use std::sync::Arc;
 
+use super::cell_wire::CELL_PREFIX;
+use super::cells::Summary;
 use super::{Backoff, Instance, Object, PlatformError};
-use crate::types::{ConfigVersion, Revision, Span};
+use crate::types::{ConfigVersion, Span};
 use crate::version::{Class, ClassesWire, Directory, Index, IndexWire};
 
 /// The key of the object that holds all classes.
 pub(crate) const CLASSES_KEY: &str = "config/classes";
+const CONFIG_PREFIX: &str = "config/";
 const INDEX_PREFIX: &str = "indexes/";
-const ALL_PREFIX: &str = "";
-const WATCH_WAIT: Span = Span::from_secs(20);
+/// The prefixes that hold all an instance must know before it serves.
+pub(crate) const LEARNED_FROM: [&str; 2] = [CONFIG_PREFIX, INDEX_PREFIX];
+const WATCH_WAIT: Span = Span::from_secs(10);
 const FIRST_PAUSE: Span = Span::from_millis(100);
 const LONGEST_PAUSE: Span = Span::from_secs(1);
+const PAUSE_BETWEEN_WATCHES: Span = Span::from_millis(100);
 
-/// Follows the platform until the process ends.
-pub(crate) async fn follow(instance: Arc<Instance>) {
+/// Follows the platform until the process ends, with one watch for each prefix.
+pub(crate) fn spawn(instance: &Arc<Instance>) {
+    for prefix in [CONFIG_PREFIX, INDEX_PREFIX, CELL_PREFIX] {
+        async_std::task::spawn(follow(Arc::clone(instance), prefix));
+    }
+}
+
+async fn follow(instance: Arc<Instance>, prefix: &'static str) {
     let mut backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE);
     loop {
-        if let Err(error) = follow_once(&instance, &mut backoff).await {
-            tracing::debug!(%error, "following the platform begins again");
+        if !reads_platform(&instance) {
+            backoff.reset();
+        } else if let Err(error) = follow_once(&instance, prefix, &mut backoff).await {
+            tracing::debug!(%error, prefix, "following the platform begins again");
         }
         let pause = backoff.pause(&mut rand::rng());
         async_std::task::sleep(pause.as_duration()).await;
     }
 }
 
-async fn follow_once(instance: &Instance, backoff: &mut Backoff) -> Result<(), PlatformError> {
-    let listing = instance.platform.list(ALL_PREFIX).await?;
+fn reads_platform(instance: &Instance) -> bool {
+    let now = instance.clock.now();
+    instance.members.lock().reads_platform(now)
+}
+
+async fn follow_once(
+    instance: &Instance,
+    prefix: &'static str,
+    backoff: &mut Backoff,
+) -> Result<(), PlatformError> {
+    let listing = instance.platform.list(prefix).await?;
     backoff.reset();
     for object in &listing.objects {
         adopt(instance, object);
     }
-    let mut revision: Revision = listing.revision;
-    loop {
+    heard(instance, Some(prefix));
+    let mut revision = listing.revision;
+    while reads_platform(instance) {
         let changes = instance
             .platform
-            .watch(ALL_PREFIX, revision, WATCH_WAIT)
+            .watch(prefix, revision, WATCH_WAIT)
             .await?;
         for object in changes
             .changes
@@ -45,17 +71,44 @@
         {
             adopt(instance, object);
         }
+        heard(instance, None);
         revision = changes.revision;
+        async_std::task::sleep(PAUSE_BETWEEN_WATCHES.as_duration()).await;
     }
+    Ok(())
+}
+
+fn heard(instance: &Instance, whole: Option<&'static str>) {
+    let now = instance.clock.now();
+    instance.members.lock().on_platform(now, whole);
+}
+
+/// Takes an object from the platform or from a peer, unless one as new is known.
+pub(crate) fn adopt(instance: &Instance, object: &Object) {
+    let adopted = if object.key.as_str().starts_with(CELL_PREFIX) {
+        adopt_cell(instance, object)
+    } else {
+        adopt_version(instance, object)
+    };
+    if let Err(error) = adopted {
+        tracing::warn!(key = %object.key, %error, "an object is ignored");
+    }
+}
+
+fn adopt_cell(instance: &Instance, object: &Object) -> anyhow::Result<()> {
+    let summary = Summary::from_json(&object.value)?;
+    instance.members.lock().adopt_summary(&summary);
+    Ok(())
 }
 
-fn adopt(instance: &Instance, object: &Object) {
+fn adopt_version(instance: &Instance, object: &Object) -> anyhow::Result<()> {
     let mut directory = instance.tables.directory.lock();
-    match read(&directory, object) {
-        Ok(Some(next)) => *directory = Arc::new(next),
-        Ok(None) => {}
-        Err(error) => tracing::warn!(key = %object.key, %error, "an object is ignored"),
+    if let Some(next) = read(&directory, object)? {
+        let config = next.config;
+        *directory = Arc::new(next);
+        instance.members.lock().adopt_object(object, config);
     }
+    Ok(())
 }
 
 fn read(directory: &Directory, object: &Object) -> anyhow::Result<Option<Directory>> {
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -8,11 +8,16 @@
 use indexmap::IndexMap;
 use rand::RngCore;
 
+use super::heartbeat::Beats;
+use super::members::Members;
 use super::orders::{Claim, OrderKey, Orders};
+use super::shutdown::Shutdown;
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
-use super::{Clock, HttpPlatform, Job, Metrics, Platform, Settings, follow, pool};
-use crate::connection::Links;
+use super::{
+    Clock, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat, pool,
+};
+use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, Inquiry, Query};
 use crate::types::{Fingerprint, QueryId, Span, Timestamp};
@@ -35,6 +40,10 @@
     pub(crate) metrics: Metrics,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) orders: Arc<Orders>,
+    pub(crate) members: Ranked<Members>,
+    pub(crate) peers: Peers,
+    pub(crate) beats: Beats,
+    pub(crate) shutdown: Ranked<Shutdown>,
 }
 
 impl Instance {
@@ -50,6 +59,10 @@
             settings.platform_rates,
         ));
         let workers = settings.workers;
+        let members = Members::of(&settings);
+        let (beats, end) = heartbeat::beats();
+        let shutdown = Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop_times()));
+        let peers = Peers::new(settings.name.clone(), settings.peer_keys.clone());
         let instance = Arc::new(Self {
             settings,
             clock,
@@ -60,13 +73,18 @@
             metrics: Metrics::new()?,
             orders: Orders::new(Arc::clone(&platform), clock),
             platform,
+            members: Ranked::new(Rank::Members, members),
+            peers,
+            beats,
+            shutdown,
         });
         let home = instance.settings.failure_domain.clone();
         instance.tables.upstreams.lock().set_home(home);
         pool::spawn(&instance, &queue, workers)?;
         instance.timer.spawn(clock, instance.jobs.clone())?;
         instance.orders.start();
-        async_std::task::spawn(follow::follow(Arc::clone(&instance)));
+        follow::spawn(&instance);
+        async_std::task::spawn(heartbeat::run(Arc::clone(&instance), end));
         Ok(instance)
     }
 
@@ -95,6 +113,7 @@
         inquiry: Inquiry,
         gone: impl Future<Output = ()> + Unpin,
     ) -> Result<Answer, Refusal> {
+        self.check_learned()?;
         let started = self.clock.now();
         let admitted = self.enter(&inquiry)?;
         let mut claim = self.claim(&inquiry, started).await?;
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -14,10 +14,14 @@
 /// The place of a table in the lock order; locks are taken from first to last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Rank {
+    /// How far a planned stop has come.
+    Shutdown,
     /// The directory of classes and indexes.
     Directory,
     /// Who has queries under way.
     Admission,
+    /// The instances, their cells, and what peers are told.
+    Members,
     /// The queries under way, by id.
     Queries,
     /// One query.
@@ -40,6 +44,8 @@
     Links,
     /// One connection.
     Link,
+    /// The connections to other instances.
+    Peers,
     /// The times at which queries are to be woken.
     Timer,
     /// The calls that may still be made to the platform now.
--- /dev/null
+++ b/src/process/member_metrics.rs
@@ -0,0 +1,82 @@
+//! What an instance counts of its membership; listed in `docs/OPERATING.md`.
+
+use http::StatusCode;
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::{Counter, Gauge, Meter};
+
+use super::members::{Members, Readiness, Role};
+use crate::types::Timestamp;
+
+/// The instruments of membership.
+#[derive(Debug)]
+pub(crate) struct MemberMetrics {
+    live: Gauge<u64>,
+    leading: Gauge<u64>,
+    epoch: Gauge<u64>,
+    lease_left: Gauge<f64>,
+    config: Gauge<u64>,
+    ready: Gauge<u64>,
+    leases: Counter<u64>,
+    summaries: Counter<u64>,
+    lost_cells: Counter<u64>,
+    failed_heartbeats: Counter<u64>,
+    refused_peers: Counter<u64>,
+}
+
+impl MemberMetrics {
+    pub(crate) fn new(meter: &Meter) -> Self {
+        let counter = |name| meter.u64_counter(name).build();
+        let gauge = |name| meter.u64_gauge(name).build();
+        Self {
+            live: gauge("hyssopwalk_live_instances"),
+            leading: gauge("hyssopwalk_leading"),
+            epoch: gauge("hyssopwalk_cell_epoch"),
+            lease_left: meter.f64_gauge("hyssopwalk_lease_left_seconds").build(),
+            config: gauge("hyssopwalk_config_version"),
+            ready: gauge("hyssopwalk_ready"),
+            leases: counter("hyssopwalk_leases_taken"),
+            summaries: counter("hyssopwalk_summaries_published"),
+            lost_cells: counter("hyssopwalk_lost_cells"),
+            failed_heartbeats: counter("hyssopwalk_failed_heartbeats"),
+            refused_peers: counter("hyssopwalk_refused_peers"),
+        }
+    }
+
+    /// Records what is known of the members now.
+    pub(crate) fn state(&self, now: Timestamp, members: &Members, live: u32) {
+        let (leading, epoch) = match members.role(now) {
+            Role::Leading(epoch) => (1, epoch.0),
+            Role::Following(epoch) => (0, epoch.0),
+            Role::Orphan => (0, 0),
+        };
+        self.live.record(u64::from(live), &[]);
+        self.leading.record(leading, &[]);
+        self.epoch.record(epoch, &[]);
+        let left = members.lease.left(now).as_duration();
+        self.lease_left.record(left.as_secs_f64(), &[]);
+        self.config.record(members.config().0, &[]);
+        let ready = members.readiness(now) == Readiness::Ready;
+        self.ready.record(u64::from(ready), &[]);
+    }
+
+    pub(crate) fn took_lease(&self) {
+        self.leases.add(1, &[]);
+    }
+
+    pub(crate) fn published(&self) {
+        self.summaries.add(1, &[]);
+    }
+
+    pub(crate) fn lost_cell(&self) {
+        self.lost_cells.add(1, &[]);
+    }
+
+    pub(crate) fn heartbeat_failed(&self) {
+        self.failed_heartbeats.add(1, &[]);
+    }
+
+    pub(crate) fn refused_peer(&self, status: StatusCode) {
+        let status = KeyValue::new("status", i64::from(status.as_u16()));
+        self.refused_peers.add(1, &[status]);
+    }
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::process_collector::ProcessCollector;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use super::member_metrics::MemberMetrics;
 use crate::error::ErrorKind;
 use crate::request::LegFailure;
 use crate::types::{ClassName, Span, UpstreamName};
@@ -21,6 +22,7 @@
     legs: Counter<u64>,
     leg_failures: Counter<u64>,
     pub(crate) unheard_answers: Counter<u64>,
+    pub(crate) members: MemberMetrics,
 }
 
 impl Metrics {
@@ -41,6 +43,7 @@
             legs: meter.u64_counter("hyssopwalk_legs").build(),
             leg_failures: meter.u64_counter("hyssopwalk_leg_failures").build(),
             unheard_answers: meter.u64_counter("hyssopwalk_unheard_answers").build(),
+            members: MemberMetrics::new(&meter),
         })
     }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,23 +1,36 @@
 //! What lives for a process: the shared tables, the pool of workers over them, the
 //! clock, the settings and the edge towards the platform.
 
+mod addresses;
 mod admission;
 mod admitted;
 mod budget;
+mod cell_table;
+mod cell_wire;
+mod cells;
 mod clock;
 mod dispatch;
+mod exchange;
 mod follow;
 mod gate;
+mod heartbeat;
 mod instance;
+mod journal;
 mod latency;
+mod lead;
+mod lease;
 mod limits;
 mod lock;
+mod member_metrics;
+mod members;
 mod metrics;
 mod observed;
 mod orders;
 mod platform;
 mod pool;
 mod settings;
+mod share;
+mod shutdown;
 mod suspects;
 mod tables;
 mod timer;
@@ -46,10 +59,15 @@
 pub use suspects::Suspects;
 pub use upstreams::{Choice, LegEnd, Seeking, Upstreams};
 
+pub(crate) use addresses::{Near, choose as choose_addresses};
+pub(crate) use cells::{CellId, CellVersion, Member, Summary};
 pub(crate) use clock::Clock;
 pub(crate) use dispatch::Job;
+pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
+pub(crate) use members::{Readiness, Role};
 pub(crate) use metrics::Metrics;
 pub(crate) use platform::Backoff;
+pub(crate) use shutdown::Step;
 pub(crate) use upstreams::ClassLatency;
--- a/src/process/process_tests.rs
+++ b/src/process/process_tests.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use super::{CallRates, Rank, Ranked, Settings, SettingsError};
-use crate::types::{ByteCount, PerSecond};
+use crate::types::{ByteCount, PerSecond, Span};
 
 #[test]
 fn locks_are_taken_in_order() {
@@ -28,6 +28,12 @@
     Settings {
         name: "one".parse().unwrap(),
         listen: "127.0.0.1:8080".parse().unwrap(),
+        peer_listen: "127.0.0.1:8082".parse().unwrap(),
+        peer_keys: vec![],
+        seeds: vec![],
+        heartbeat: Span::from_secs(1),
+        address_keep: Span::from_secs(10),
+        drain: Span::from_secs(10),
         platform: "127.0.0.1:8081".parse().unwrap(),
         platform_rates: CallRates::default(),
         failure_domain: "suva-a".parse().unwrap(),
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -3,9 +3,15 @@
 use std::net::SocketAddr;
 
 use super::CallRates;
-use crate::types::{ByteCount, FailureDomain, InstanceName, Region};
+use super::shutdown::StopTimes;
+use crate::types::{ByteCount, FailureDomain, InstanceName, PeerKey, Region, Span};
 
 const MOST_WORKERS: usize = 64;
+const LEAVING_HEARD_BEATS: u64 = 5;
+const MOST_PEER_KEYS: usize = 4;
+const LEAST_HEARTBEAT: Span = Span::from_millis(50);
+const MOST_HEARTBEAT: Span = Span::from_secs(1);
+const LEAST_FETCH_TIMEOUT: Span = Span::from_secs(2);
 
 /// What an instance is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,6 +20,18 @@
     pub name: InstanceName,
     /// Where callers and operators connect.
     pub listen: SocketAddr,
+    /// Where other instances connect.
+    pub peer_listen: SocketAddr,
+    /// The keys that instances prove to each other that they have.
+    pub peer_keys: Vec<PeerKey>,
+    /// Where other instances connect that are asked while the platform is away.
+    pub seeds: Vec<SocketAddr>,
+    /// The time between two heartbeats.
+    pub heartbeat: Span,
+    /// How long callers may keep the addresses they were given.
+    pub address_keep: Span,
+    /// How long a planned stop waits for requests that still run.
+    pub drain: Span,
     /// Where the platform's object API answers.
     pub platform: SocketAddr,
     /// How many calls a second the instance makes to it at most.
@@ -41,12 +59,39 @@
     /// An instance that makes no calls learns no configuration.
     #[error("--platform-reads and --platform-writes must be at least 1/s")]
     PlatformRates,
+    /// More keys are valid at a time than a rotation needs.
+    #[error("--peer-keys takes at most {MOST_PEER_KEYS} keys, not {0}")]
+    PeerKeys(usize),
+    /// Heartbeats are too close together, or a configuration would not be in force in
+    /// time.
+    #[error("--heartbeat must be between {LEAST_HEARTBEAT} and {MOST_HEARTBEAT}, not {0}")]
+    Heartbeat(Span),
+    /// Others are told to connect to this address, so it must be one.
+    #[error("others cannot connect to {0}; --listen and --peer-listen need an IP number")]
+    Unspecified(SocketAddr),
     /// The instance would be its own platform.
     #[error("--listen and --platform are the same address, {0}")]
     SameAddress(SocketAddr),
 }
 
 impl Settings {
+    /// How long each phase of a planned stop lasts. Others know within a few
+    /// heartbeats that the instance is leaving, and only then does the time begin
+    /// that the last answer naming it may be kept.
+    pub(crate) fn stop_times(&self) -> StopTimes {
+        let heard = Span(self.heartbeat.0 * LEAVING_HEARD_BEATS);
+        StopTimes {
+            leave: Span(self.address_keep.0 + heard.0),
+            least_drain: self.heartbeat,
+            most_drain: self.drain.max(self.heartbeat),
+        }
+    }
+
+    /// How long a peer may take to send objects.
+    pub(crate) fn fetch_timeout(&self) -> Span {
+        self.heartbeat.max(LEAST_FETCH_TIMEOUT)
+    }
+
     /// Everything that is wrong with the settings.
     #[must_use]
     pub fn check(&self) -> Vec<SettingsError> {
@@ -61,6 +106,17 @@
         if reads.0 < 1.0 || writes.0 < 1.0 {
             errors.push(SettingsError::PlatformRates);
         }
+        if self.peer_keys.len() > MOST_PEER_KEYS {
+            errors.push(SettingsError::PeerKeys(self.peer_keys.len()));
+        }
+        if !(LEAST_HEARTBEAT..=MOST_HEARTBEAT).contains(&self.heartbeat) {
+            errors.push(SettingsError::Heartbeat(self.heartbeat));
+        }
+        for addr in [self.listen, self.peer_listen] {
+            if addr.ip().is_unspecified() {
+                errors.push(SettingsError::Unspecified(addr));
+            }
+        }
         if self.listen == self.platform {
             errors.push(SettingsError::SameAddress(self.listen));
         }
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -57,6 +57,24 @@
     Revision, u64, "a revision"
 }
 
+number! {
+    /// The fence of a cell's lease: whoever takes the lease raises it by one.
+    Epoch, u64, "an epoch"
+}
+number! {
+    /// When an instance's process started, in wall-clock milliseconds; it only tells
+    /// two processes of one name apart and which of them is later.
+    Incarnation, u64, "an incarnation"
+}
+number! {
+    /// The place of one cell summary among those of its epoch.
+    CellSeq, u64, "a cell sequence number"
+}
+number! {
+    /// A place in one process's own sequence of what it learned.
+    Position, u64, "a position"
+}
+
 /// What a request is, whoever sends it: equal for equal classes and bodies.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Fingerprint(pub u64);
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -8,6 +8,7 @@
 mod key;
 mod name;
 mod rate;
+mod secret;
 mod size;
 mod time;
 
@@ -15,7 +16,8 @@
 mod types_tests;
 
 pub use id::{
-    ConfigVersion, Fingerprint, LegId, ObjectVersion, QueryId, Revision, ShardId, SnapshotId,
+    CellSeq, ConfigVersion, Epoch, Fingerprint, Incarnation, LegId, ObjectVersion, Position,
+    QueryId, Revision, ShardId, SnapshotId,
 };
 pub use key::{Coverage, KeyRange};
 pub use name::{
@@ -23,6 +25,7 @@
     UpstreamName,
 };
 pub use rate::{PerSecond, Ratio};
+pub use secret::PeerKey;
 pub use size::{ByteCount, ConnectionCount, SlotCount};
 pub use time::{Span, Timestamp, UnixSeconds};
 
