Model the refusal of queries that do not fit

Cause: the model let every query begin, so its rows of overload measured what no instance does any more. Its instances now ask `Admission` as instances do.

--- a/examples/model/policy.rs
+++ b/examples/model/policy.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 
 use hyssopwalk::{
-    Action, Budgets, Class, Context, Event, Limits, Query, QueryId, Snapshot, Span, Suspects,
-    Timestamp, Upstreams,
+    Action, Admission, Answer, Budgets, ByteCount, CallerName, Class, Context, Entrant, ErrorKind,
+    Event, Limits, Query, QueryEnd, QueryId, Refusal, Snapshot, Span, Suspects, Ticket, Timestamp,
+    Upstreams,
 };
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -43,6 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct Instance {
     pub(crate) place: usize,
+    caller: CallerName,
+    admission: Admission,
     budgets: Budgets,
     suspects: Suspects,
     limits: Limits,
@@ -54,7 +57,8 @@
 #[derive(Debug)]
 pub(crate) enum Running {
     Baseline(Baseline),
-    Real(Query),
+    Real(Box<Query>, Option<Ticket>),
+    Refused,
 }
 
 impl Instance {
@@ -63,6 +67,8 @@
         limits.set_live(Timestamp::default(), live);
         Self {
             place,
+            caller: "modelled".parse().expect("a valid name"),
+            admission: Admission::default(),
             budgets: Budgets::default(),
             suspects: Suspects::default(),
             limits,
@@ -83,10 +89,15 @@
         let id = QueryId(number as u128);
         let snapshot = Arc::clone(snapshot);
         if policy == Policy::Hyssopwalk {
+            let ticket = match self.admit(class, now) {
+                Ok(ticket) => Some(ticket),
+                Err(refusal) => return (Running::Refused, vec![Action::Finish(Err(refusal))]),
+            };
             let body = Arc::from(number.to_le_bytes().as_slice());
-            let mut query = Query::new(id, Arc::clone(class), snapshot, body, now, deadline);
-            let actions = query.start(&mut self.context(now));
-            return (Running::Real(query), actions);
+            let query = Query::new(id, Arc::clone(class), snapshot, body, now, deadline);
+            let mut running = Running::Real(Box::new(query), ticket);
+            let actions = self.step(&mut running, now, None);
+            return (running, actions);
         }
         let mut query = Baseline::new(id, snapshot, now, deadline, policy.hedge_after());
         let actions = query.start(now, &mut self.rng);
@@ -100,11 +111,41 @@
         event: Event,
     ) -> Vec<Action> {
         match running {
-            Running::Real(query) => query.on_event(&mut self.context(now), event),
+            Running::Real(..) => self.step(running, now, Some(event)),
             Running::Baseline(query) => query.on_event(now, &event, &mut self.rng),
+            Running::Refused => Vec::new(),
         }
     }
 
+    fn admit(&mut self, class: &Class, now: Timestamp) -> Result<Ticket, Refusal> {
+        let entrant = Entrant {
+            class,
+            caller: &self.caller,
+            bytes: ByteCount(8),
+        };
+        self.admission.admit(now, entrant)
+    }
+
+    /// Lets a query decide and gives its place back when it is finished.
+    fn step(&mut self, running: &mut Running, now: Timestamp, event: Option<Event>) -> Vec<Action> {
+        let Running::Real(query, ticket) = running else {
+            return Vec::new();
+        };
+        let mut cx = self.context(now);
+        let actions = match event {
+            Some(event) => query.on_event(&mut cx, event),
+            None => query.start(&mut cx),
+        };
+        let finished = actions.iter().find_map(|action| match action {
+            Action::Finish(outcome) => Some(end_of(outcome)),
+            _ => None,
+        });
+        if let Some((end, ticket)) = finished.zip(ticket.take_if(|_| query.is_finished())) {
+            self.admission.end(now, ticket, end);
+        }
+        actions
+    }
+
     fn context(&mut self, now: Timestamp) -> Context<'_> {
         Context {
             now,
@@ -117,3 +158,15 @@
         }
     }
 }
+
+fn end_of(outcome: &Result<Answer, Refusal>) -> QueryEnd {
+    match outcome {
+        Ok(answer) => QueryEnd::Answered {
+            took: answer.took,
+            meets_target: answer.meets_target,
+            coverage: answer.coverage.ratio(),
+        },
+        Err(refusal) if refusal.kind == ErrorKind::OutOfTime => QueryEnd::OutOfTime,
+        Err(_) => QueryEnd::Other,
+    }
+}
