Let the check of released claims wait for the release

The repetition now goes through the releasing instance first, whose lane carries a release before it, and then through the other.

--- a/src/process/orders/orders_tests.rs
+++ b/src/process/orders/orders_tests.rs
@@ -184,8 +184,11 @@
     if close.claimed_again {
         fleet.claim_after_release(1, key).await;
     } else {
-        let repeated = fleet.claim(1, key, LONG).await;
-        assert_eq!(kind(repeated), Some(ErrorKind::Duplicate));
+        // The first instance's lane would carry a release before the repetition.
+        for at in [0, 1] {
+            let repeated = fleet.claim(at, key, LONG).await;
+            assert_eq!(kind(repeated), Some(ErrorKind::Duplicate));
+        }
     }
 }
 
