Try suspects on one upstream first and refuse poison everywhere

Cause: a request counted as poison after two lost upstreams. A fan-out that was under way when a switch failed met that at once, and another instance knew nothing of it.

Lost legs now make an incident; legs sent before it was known belong to it. A suspect is tried on one upstream first and any reply clears it. A second incident makes it poison, which is refused at admission. Marks are shared through one object of the platform. Ruled out: counting lost upstreams, a trial for every query, asking whether the upstream takes connections again.

Before: two of 20 lost legs condemned an innocent request for good. After: it is sent one leg, and after the reply all 20.

Conclusion: the trial tells crash from accident at the price of one round trip for suspects only.

--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -7,6 +7,7 @@
 
 use super::cell_wire::CELL_PREFIX;
 use super::cells::Summary;
+use super::poison::{self, POISON_PREFIX};
 use super::{Backoff, Instance, Object, PlatformError};
 use crate::types::{ConfigVersion, Span};
 use crate::version::{Class, ClassesWire, Directory, Index, IndexWire};
@@ -24,7 +25,7 @@
 
 /// Follows the platform until the process ends, with one watch for each prefix.
 pub(crate) fn spawn(instance: &Arc<Instance>) {
-    for prefix in [CONFIG_PREFIX, INDEX_PREFIX, CELL_PREFIX] {
+    for prefix in [CONFIG_PREFIX, INDEX_PREFIX, CELL_PREFIX, POISON_PREFIX] {
         async_std::task::spawn(follow(Arc::clone(instance), prefix));
     }
 }
@@ -85,8 +86,11 @@
 
 /// Takes an object from the platform or from a peer, unless one as new is known.
 pub(crate) fn adopt(instance: &Instance, object: &Object) {
-    let adopted = if object.key.as_str().starts_with(CELL_PREFIX) {
+    let key = object.key.as_str();
+    let adopted = if key.starts_with(CELL_PREFIX) {
         adopt_cell(instance, object)
+    } else if key.starts_with(POISON_PREFIX) {
+        adopt_poison(instance, object)
     } else {
         adopt_version(instance, object)
     };
@@ -101,6 +105,13 @@
     Ok(())
 }
 
+fn adopt_poison(instance: &Instance, object: &Object) -> anyhow::Result<()> {
+    poison::adopt(instance, object)?;
+    let config = ConfigVersion::default();
+    instance.members.lock().adopt_object(object, config);
+    Ok(())
+}
+
 fn adopt_version(instance: &Instance, object: &Object) -> anyhow::Result<()> {
     let mut directory = instance.tables.directory.lock();
     if let Some(next) = read(&directory, object)? {
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -178,6 +178,7 @@
     instance.metrics.members.state(now, &members, live);
     drop(members);
     instance.tables.limits.lock().set_live(now, live);
+    instance.orders.set_live(live);
 }
 
 impl Instance {
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -15,7 +15,8 @@
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
 use super::{
-    Clock, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat, pool,
+    Clock, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat, poison,
+    pool,
 };
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
@@ -83,6 +84,9 @@
         pool::spawn(&instance, &queue, workers)?;
         instance.timer.spawn(clock, instance.jobs.clone())?;
         instance.orders.start();
+        let (wake, news) = channel::bounded(1);
+        instance.tables.suspects.lock().wake_on_news(wake);
+        async_std::task::spawn(poison::share(Arc::clone(&instance), news));
         follow::spawn(&instance);
         async_std::task::spawn(heartbeat::run(Arc::clone(&instance), end));
         Ok(instance)
@@ -115,6 +119,7 @@
     ) -> Result<Answer, Refusal> {
         self.check_learned()?;
         let started = self.clock.now();
+        self.refuse_poison(&inquiry, started)?;
         let admitted = self.enter(&inquiry)?;
         let mut claim = self.claim(&inquiry, started).await?;
         let (id, answer) = self.admit(inquiry, started)?;
@@ -129,6 +134,17 @@
         outcome
     }
 
+    fn refuse_poison(&self, inquiry: &Inquiry, now: Timestamp) -> Result<(), Refusal> {
+        let request = Fingerprint::of(&inquiry.class, &inquiry.body);
+        if !self.tables.suspects.lock().is_poison(now, request) {
+            return Ok(());
+        }
+        Err(Refusal::new(
+            ErrorKind::Poison,
+            "the same request crashed upstreams more than once and never had a reply",
+        ))
+    }
+
     /// Claims an order for this attempt; a repeatable request needs no claim.
     async fn claim(&self, inquiry: &Inquiry, started: Timestamp) -> Result<Option<Claim>, Refusal> {
         let class = self.tables.directory().class(&inquiry.class)?;
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -27,6 +27,8 @@
 mod observed;
 mod orders;
 mod platform;
+mod poison;
+mod poison_wire;
 mod pool;
 mod settings;
 mod share;
--- a/src/process/orders/mod.rs
+++ b/src/process/orders/mod.rs
@@ -110,14 +110,13 @@
         }
     }
 
-    async fn count_instances(&self) {
-        if let Ok(listed) = self.platform.instances().await {
-            let live = u32::try_from(listed.len()).unwrap_or(u32::MAX).max(1);
-            self.live.store(live, Ordering::Relaxed);
-        }
+    /// Says how many instances share the platform's writes.
+    pub(crate) fn set_live(&self, live: u32) {
+        self.live.store(live.max(1), Ordering::Relaxed);
     }
 
-    fn live(&self) -> u32 {
+    /// How many instances share the platform's writes.
+    pub(crate) fn live(&self) -> u32 {
         self.live.load(Ordering::Relaxed)
     }
 
--- a/src/process/orders/sweep.rs
+++ b/src/process/orders/sweep.rs
@@ -35,7 +35,6 @@
     /// Sweeps until the process ends; the more instances there are, the less often.
     pub(super) async fn sweep_forever(&self) {
         loop {
-            self.count_instances().await;
             let between = Span(SWEEP_EVERY.0 * u64::from(self.live()));
             async_std::task::sleep(self.jittered(between).as_duration()).await;
             if let Err(error) = self.sweep(self.clock.wall()).await {
--- a/src/request/crashes.rs
+++ b/src/request/crashes.rs
@@ -14,6 +14,7 @@
 pub(super) struct Crashes {
     at: Vec<UpstreamName>,
     innocent: bool,
+    known_suspect: bool,
     known_poison: bool,
 }
 
@@ -36,6 +37,11 @@
         true
     }
 
+    /// Notes that the same request lost its connections in another query.
+    pub(super) fn on_known_suspect(&mut self) {
+        self.known_suspect = true;
+    }
+
     /// Notes that the same request crashed upstreams in other queries.
     pub(super) fn on_known_poison(&mut self) {
         self.known_poison = true;
@@ -43,7 +49,7 @@
 
     /// Whether further legs have to wait for a reply.
     pub(super) fn suspected(&self) -> bool {
-        !self.innocent && !self.at.is_empty()
+        !self.innocent && (self.known_suspect || !self.at.is_empty())
     }
 
     /// Whether the query must not be sent to any further upstream.
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -73,8 +73,7 @@
     pub(super) fn on_crash(&mut self, cx: &mut Context<'_>, leg: Leg) {
         let upstream = &self.snapshot.shards[leg.shard_at].replicas[leg.replica_at];
         if self.crashes.on_crash(&upstream.name) {
-            cx.suspects
-                .crashed(cx.now, self.fingerprint, &upstream.name);
+            cx.suspects.crashed(cx.now, self.fingerprint, leg.sent);
         }
     }
 
@@ -98,7 +97,7 @@
                 continue;
             };
             let replicas = self.snapshot.shards[shard_at].replicas.len();
-            let spares_one = self.shards[shard_at].untouched(replicas) > 1;
+            let spares_one = self.legs.is_empty() || self.shards[shard_at].untouched(replicas) > 1;
             if self.open_legs > 0 {
                 self.held.push(shard_at);
             } else if spares_one && !self.crashes.condemned() {
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -23,6 +23,8 @@
 #[cfg(test)]
 mod harness_tests;
 #[cfg(test)]
+mod poison_tests;
+#[cfg(test)]
 mod query_tests;
 #[cfg(test)]
 mod snapshot_tests;
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -145,6 +145,9 @@
             self.finish(cx, Some(Err(refusal)), &mut actions);
             return actions;
         }
+        if cx.suspects.is_suspect(cx.now, self.fingerprint) {
+            self.crashes.on_known_suspect();
+        }
         self.send_first_legs(cx, &mut actions);
         self.settle(cx, &mut actions);
         actions
--- a/src/types/time.rs
+++ b/src/types/time.rs
@@ -55,6 +55,12 @@
         self.0 / Self::MICROS_PER_MILLI
     }
 
+    /// Whole seconds, rounded down.
+    #[must_use]
+    pub const fn as_secs(self) -> u64 {
+        self.0 / Self::MICROS_PER_SECOND
+    }
+
     /// The span for the standard library.
     #[must_use]
     pub const fn as_duration(self) -> Duration {
