--- a/src/process/budget.rs
+++ b/src/process/budget.rs
@@ -5,8 +5,7 @@
 //! Bounds of tokens are stated as the legs that earn them; see `docs/DESIGN.md`,
 //! "Extra load".
 
-use indexmap::IndexMap;
-
+use super::Table;
 use crate::types::ClassName;
 use crate::version::Class;
 
@@ -29,7 +28,7 @@
 /// The tokens of every class.
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
-    by_class: IndexMap<ClassName, Tokens>,
+    by_class: Table<ClassName, Tokens>,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -4,10 +4,8 @@
 //! [`Window`] that follows the queue it observes and begins at its part of the slots,
 //! which follows the number of live instances; see `docs/DESIGN.md`, "Limits".
 
-use indexmap::IndexMap;
-
-use super::LegEnd;
 use super::window::Window;
+use super::{LegEnd, Table};
 use crate::request::LegFailure;
 use crate::types::{ConnectionCount, Span, Timestamp, UpstreamName};
 use crate::version::UpstreamSpec;
@@ -20,14 +18,14 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     live: u32,
-    windows: IndexMap<UpstreamName, Window>,
+    windows: Table<UpstreamName, Window>,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
             live: 1,
-            windows: IndexMap::new(),
+            windows: Table::default(),
         }
     }
 }
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -5,13 +5,12 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::Limits;
 use super::latency::Latency;
 use super::observed::{Observed, Readiness, micros};
+use super::{Limits, Table};
 use crate::request::LegFailure;
 use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
 use crate::version::UpstreamSpec;
@@ -63,9 +62,9 @@
 /// Every upstream that was used lately, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
-    by_name: IndexMap<UpstreamName, Observed>,
-    by_class: IndexMap<ClassName, ClassLatency>,
-    by_domain: IndexMap<FailureDomain, f64>,
+    by_name: Table<UpstreamName, Observed>,
+    by_class: Table<ClassName, ClassLatency>,
+    by_domain: Table<FailureDomain, f64>,
     home: Option<FailureDomain>,
     first_use: Option<Timestamp>,
     prune_at: usize,
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -16,14 +16,26 @@
         if !self.class.targets.repeatable {
             return;
         }
-        let latency = cx.upstreams.class(&self.class.name);
-        let left = self.deadline.since(cx.now);
-        let after = hedge::hedge_after(latency, self.class.targets.extra_load, left);
-        if let Some(after) = after {
+        if let Some(after) = self.hedge_after(cx) {
             self.wake_shard_at(shard_at, cx.now + after);
         }
     }
 
+    /// How long a leg that is sent now is waited for; one estimate serves all legs of a
+    /// moment.
+    fn hedge_after(&mut self, cx: &Context<'_>) -> Option<Span> {
+        if let Some((at, after)) = self.hedge_plan
+            && at == cx.now
+        {
+            return after;
+        }
+        let class = cx.upstreams.class(&self.class.name);
+        let left = self.deadline.since(cx.now);
+        let after = hedge::hedge_after(class, self.class.targets.extra_load, left);
+        self.hedge_plan = Some((cx.now, after));
+        after
+    }
+
     /// Sends a second leg if that can still help and costs no more than is allowed;
     /// looks again a little later while it may not be sent yet.
     pub(super) fn hedge(
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -12,7 +12,7 @@
 use super::{Answer, LegFailure, LegReply, LegRequest, admit};
 use crate::error::{Ran, Refusal};
 use crate::process::{Budgets, Extra, LegEnd, Limits, Suspects, Upstreams};
-use crate::types::{Fingerprint, IndexName, LegId, QueryId, Timestamp};
+use crate::types::{Fingerprint, IndexName, LegId, QueryId, Span, Timestamp};
 use crate::version::{Class, Snapshot};
 
 /// What happens to a query.
@@ -87,6 +87,8 @@
     /// Whether a shard was given up because its replicas lost the snapshot.
     pub(super) snapshot_lost: bool,
     pub(super) held: Vec<usize>,
+    /// The last estimate of when to hedge, and when it was made.
+    pub(super) hedge_plan: Option<(Timestamp, Option<Span>)>,
     pub(super) previous: Option<Previous>,
     pub(super) restarts: u32,
     finished: bool,
@@ -126,6 +128,7 @@
             lost_keys: 0,
             snapshot_lost: false,
             held: Vec::new(),
+            hedge_plan: None,
             previous: None,
             restarts: 0,
             finished: false,
--- a/src/types/key.rs
+++ b/src/types/key.rs
@@ -67,6 +67,10 @@
     /// Adds a range, joining it with what it touches.
     pub fn add(&mut self, range: KeyRange) {
         self.ranges.push(range);
+        self.join();
+    }
+
+    fn join(&mut self) {
         self.ranges.sort_unstable();
         let mut joined: Vec<KeyRange> = Vec::with_capacity(self.ranges.len());
         for next in self.ranges.drain(..) {
@@ -102,10 +106,10 @@
 
 impl FromIterator<KeyRange> for Coverage {
     fn from_iter<I: IntoIterator<Item = KeyRange>>(ranges: I) -> Self {
-        let mut coverage = Self::default();
-        for range in ranges {
-            coverage.add(range);
-        }
+        let mut coverage = Self {
+            ranges: ranges.into_iter().collect(),
+        };
+        coverage.join();
         coverage
     }
 }
