Bound every wait on a caller's connection and read one request at a time

Cause: what a caller pipelined was lost with the HTTP library's buffer; a head it could not read got no word; a slow head or an idle connection held its place for 60 s, without a bound on their number; a failing accept ended the process. Ruled out: an HTTP server of our own; closing after each request. Conclusion: every fault of a request gets its kind, not run, and no run is seen at an upstream.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -4,9 +4,12 @@
 mod active;
 mod address_api;
 mod backoff;
+mod caller;
 mod conn;
+mod exchange;
 mod front;
 mod hangup;
+mod head;
 mod heard;
 mod heartbeat;
 mod leg_wire;
@@ -21,6 +24,8 @@
 mod stream;
 mod watch;
 
+#[cfg(test)]
+mod caller_tests;
 #[cfg(test)]
 mod heartbeat_tests;
 #[cfg(test)]
--- a/src/connection/query_api.rs
+++ b/src/connection/query_api.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use tide::{Request, Response};
+use tide::{Request, Response, StatusCode};
 
 use super::front::Cx;
 use super::hangup::Hangup;
@@ -23,7 +23,7 @@
     let instance = Arc::clone(req.state());
     let res = match answer(&instance, &mut req).await {
         Ok(answer) => reply(200, &AnswerWire::from(answer))?,
-        Err(refusal) => reply(refusal.kind.row().status, &RefusalWire::from(&refusal))?,
+        Err(refusal) => refuse(&refusal)?,
     };
     Ok(res)
 }
@@ -78,6 +78,7 @@
     if req.len().is_some_and(|len| len as u64 > most.0) {
         return Err(too_large());
     }
+    let stated = req.len();
     let mut buf = Vec::new();
     let body = async_std::io::ReadExt::take(req.take_body(), most.0 + 1);
     let mut body = body;
@@ -94,6 +95,12 @@
     if buf.len() as u64 > most.0 {
         return Err(too_large());
     }
+    if stated.is_some_and(|stated| stated != buf.len()) {
+        return Err(Refusal::new(
+            ErrorKind::BadRequest,
+            "the body ended before its stated length",
+        ));
+    }
     Ok(Arc::from(buf))
 }
 
@@ -106,6 +113,29 @@
     Refusal::new(ErrorKind::BadRequest, error.to_string())
 }
 
+/// A refusal as an answer.
+pub(super) fn refuse(refusal: &Refusal) -> tide::Result<Response> {
+    reply(refusal.kind.row().status, &RefusalWire::from(refusal))
+}
+
+/// Gives errors that come without a word the kind that their status stands for.
+pub(super) async fn explain(res: Response) -> tide::Result {
+    if !res.is_empty().unwrap_or(false) {
+        return Ok(res);
+    }
+    match res.status() {
+        StatusCode::NotFound => refuse(&Refusal::new(ErrorKind::NotFound, "there is no such path")),
+        StatusCode::MethodNotAllowed => refuse(&Refusal::new(
+            ErrorKind::BadRequest,
+            "the path does not take this method",
+        )),
+        StatusCode::InternalServerError => {
+            refuse(&Refusal::new(ErrorKind::Internal, "the request failed"))
+        }
+        _ => Ok(res),
+    }
+}
+
 fn reply(status: u16, wire: &impl serde::Serialize) -> tide::Result<Response> {
     let body = tide::Body::from_json(wire)?;
     Ok(Response::builder(status).body(body).build())
--- /dev/null
+++ b/tests/callers.rs
@@ -0,0 +1,296 @@
+//! Callers that are slow, silent, hang up or send what is no request, against the real
+//! binary; nobody else suffers from them.
+
+mod standin;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_std::net::{Shutdown, TcpStream};
+use futures::future::join_all;
+use futures::{AsyncReadExt, AsyncWriteExt};
+use serde_json::{Value, json};
+
+use standin::guild::Index;
+use standin::instance::Instance;
+use standin::platform::Platform;
+use standin::upstream::Upstream;
+use standin::{guild, query, until};
+
+const CLASS: &str = "courier-board";
+const SLOW: Duration = Duration::from_secs(60);
+
+struct Site {
+    indexes: Vec<Index>,
+    platform: Platform,
+    instance: Instance,
+}
+
+impl Site {
+    async fn start(name: &str) -> Self {
+        let platform = Platform::start().await;
+        let indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+        let instance = Instance::start(name, &platform).await;
+        let addr = instance.addr;
+        until("an answer", || async {
+            query(addr, CLASS, "{}")
+                .await
+                .is_ok_and(|(status, _)| status == 200)
+        })
+        .await;
+        Self {
+            indexes,
+            platform,
+            instance,
+        }
+    }
+
+    async fn answers(&self) -> bool {
+        let answered = query(self.instance.addr, CLASS, "{}").await;
+        answered.is_ok_and(|(status, _)| status == 200)
+    }
+
+    fn runs(&self) -> usize {
+        let upstreams = &self.indexes[0].upstreams;
+        upstreams.iter().map(|upstream| upstream.runs().len()).sum()
+    }
+
+    fn resets(&self) -> u64 {
+        let upstreams = &self.indexes[0].upstreams;
+        upstreams.iter().map(Upstream::resets).sum()
+    }
+}
+
+fn post(headers: &str, body: &str) -> String {
+    let len = body.len();
+    format!(
+        "POST /v1/classes/{CLASS}/query HTTP/1.1\r\nhost: one\r\n{headers}\
+         content-length: {len}\r\n\r\n{body}"
+    )
+}
+
+/// Sends bytes, ends the sending side, and reads whatever comes back.
+async fn exchange(addr: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(bytes).await.unwrap();
+    read_answer(&mut stream).await
+}
+
+/// Reads one answer that has a length.
+async fn read_answer(stream: &mut TcpStream) -> String {
+    let mut buf = Vec::new();
+    let mut byte = [0; 1];
+    while !is_whole(&buf) && stream.read(&mut byte).await.unwrap_or(0) > 0 {
+        buf.push(byte[0]);
+    }
+    String::from_utf8(buf).unwrap()
+}
+
+fn is_whole(buf: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(buf).to_lowercase();
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "))
+        .and_then(|length| length.parse::<usize>().ok());
+    length.is_none_or(|length| body.len() >= length)
+}
+
+fn status(answer: &str) -> &str {
+    answer.split(' ').nth(1).unwrap_or_default()
+}
+
+fn body(answer: &str) -> Value {
+    let body = answer.split_once("\r\n\r\n").map(|(_, body)| body);
+    serde_json::from_str(body.unwrap_or_default()).unwrap_or_default()
+}
+
+#[async_std::test]
+async fn every_fault_of_a_request_gets_its_kind() {
+    struct Case {
+        name: &'static str,
+        request: String,
+        status: &'static str,
+        kind: &'static str,
+    }
+    let chunk = format!("{:x}\r\n{}\r\n", 2 << 20, "x".repeat(2 << 20));
+    let cases = [
+        Case {
+            name: "not HTTP",
+            request: "\u{16}\u{3}\u{1}\r\n\r\n".to_owned(),
+            status: "400",
+            kind: "bad-request",
+        },
+        Case {
+            name: "no host",
+            request: "GET /metrics HTTP/1.1\r\n\r\n".to_owned(),
+            status: "400",
+            kind: "bad-request",
+        },
+        Case {
+            name: "old version",
+            request: "GET /metrics HTTP/1.0\r\nhost: one\r\n\r\n".to_owned(),
+            status: "400",
+            kind: "bad-request",
+        },
+        Case {
+            name: "unknown method",
+            request: "BREW / HTTP/1.1\r\nhost: one\r\n\r\n".to_owned(),
+            status: "400",
+            kind: "bad-request",
+        },
+        Case {
+            name: "two lengths",
+            request: post("content-length: 9\r\n", "{}"),
+            status: "400",
+            kind: "bad-request",
+        },
+        Case {
+            name: "large head",
+            request: post(&format!("x: {}\r\n", "x".repeat(8_000)), "{}"),
+            status: "413",
+            kind: "too-large",
+        },
+        Case {
+            name: "large body",
+            request: post("", &"x".repeat(2 << 20)),
+            status: "413",
+            kind: "too-large",
+        },
+        Case {
+            name: "large chunked body",
+            request: post("transfer-encoding: chunked\r\n", "")
+                .replace("content-length: 0\r\n", "")
+                + &chunk
+                + "0\r\n\r\n",
+            status: "413",
+            kind: "too-large",
+        },
+        Case {
+            name: "timeout that is none",
+            request: post("hw-timeout: soon\r\n", "{}"),
+            status: "400",
+            kind: "bad-timeout",
+        },
+        Case {
+            name: "timeout of zero",
+            request: post("hw-timeout: 0ms\r\n", "{}"),
+            status: "400",
+            kind: "bad-timeout",
+        },
+        Case {
+            name: "timeout without unit",
+            request: post("hw-timeout: -5\r\n", "{}"),
+            status: "400",
+            kind: "bad-timeout",
+        },
+        Case {
+            name: "no such path",
+            request: "GET /v9 HTTP/1.1\r\nhost: one\r\n\r\n".to_owned(),
+            status: "404",
+            kind: "not-found",
+        },
+        Case {
+            name: "wrong method",
+            request: format!("GET /v1/classes/{CLASS}/query HTTP/1.1\r\nhost: one\r\n\r\n"),
+            status: "400",
+            kind: "bad-request",
+        },
+    ];
+    let site = Site::start("faults").await;
+    let runs = site.runs();
+    for case in cases {
+        let answer = exchange(site.instance.addr, case.request.as_bytes()).await;
+        let refusal = body(&answer);
+        assert_eq!(status(&answer), case.status, "{}: {answer}", case.name);
+        assert_eq!(refusal["kind"], case.kind, "{}", case.name);
+        assert_eq!(refusal["ran"], "not run", "{}", case.name);
+    }
+    assert_eq!(site.runs(), runs);
+    assert!(site.answers().await);
+}
+
+#[async_std::test]
+async fn pipelined_requests_are_all_answered_in_order() {
+    let site = Site::start("pipelined").await;
+    let runs = site.runs();
+    let mut stream = TcpStream::connect(site.instance.addr).await.unwrap();
+    let requests = post("", "one") + &post("hw-timeout: 0ms\r\n", "two") + &post("", "three");
+    stream.write_all(requests.as_bytes()).await.unwrap();
+    for wanted in ["200", "400", "200"] {
+        let answer = read_answer(&mut stream).await;
+        assert_eq!(status(&answer), wanted, "{answer}");
+    }
+    assert!(site.runs() >= runs + 2);
+}
+
+#[async_std::test]
+async fn a_request_that_ends_early_does_not_run() {
+    let site = Site::start("early").await;
+    let runs = site.runs();
+    for cut in [1, 30, 60, 120] {
+        let request = post("", &"x".repeat(100));
+        let mut stream = TcpStream::connect(site.instance.addr).await.unwrap();
+        let part = &request.as_bytes()[..request.len() - cut];
+        stream.write_all(part).await.unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut rest = String::new();
+        stream.read_to_string(&mut rest).await.unwrap();
+        assert_ne!(status(&rest), "200", "{rest}");
+    }
+    assert_eq!(site.runs(), runs);
+    assert!(site.answers().await);
+}
+
+#[async_std::test]
+async fn a_caller_that_hangs_up_frees_its_legs() {
+    let site = Site::start("hangup").await;
+    let class = json!({
+        "name": CLASS, "index": CLASS, "latency": "40s", "coverage": "100%",
+        "extra_load": "5%", "repeatable": true,
+    });
+    site.platform
+        .set("config/classes", json!({ "classes": [class] }));
+    for upstream in &site.indexes[0].upstreams {
+        upstream.behave(|behaviour| behaviour.service = SLOW);
+    }
+    let resets = site.resets();
+    until("a leg to be cancelled by a hang-up", || async {
+        let mut stream = TcpStream::connect(site.instance.addr).await.unwrap();
+        let runs = site.runs();
+        stream.write_all(post("", "{}").as_bytes()).await.unwrap();
+        until("a run", || async { site.runs() > runs }).await;
+        drop(stream);
+        async_std::task::sleep(Duration::from_millis(100)).await;
+        site.resets() > resets
+    })
+    .await;
+}
+
+#[async_std::test]
+async fn slow_and_silent_callers_cost_nobody_else() {
+    let site = Site::start("slow").await;
+    let addr = site.instance.addr;
+    let idle = join_all((0..200).map(|_| TcpStream::connect(addr))).await;
+    let mut slow = join_all((0..100).map(|_| TcpStream::connect(addr))).await;
+    for stream in slow.iter_mut().flatten() {
+        stream.write_all(b"POST /v1/cla").await.unwrap();
+    }
+    for _ in 0..20 {
+        assert!(site.answers().await);
+    }
+    let one = slow.pop().unwrap();
+    let answer = read_answer(&mut one.unwrap()).await;
+    assert_eq!(status(&answer), "408", "{answer}");
+    assert_eq!(body(&answer)["kind"], "slow-caller");
+    let mut body_only = TcpStream::connect(addr).await.unwrap();
+    let request = post("", &"x".repeat(100));
+    let part = &request.as_bytes()[..request.len() - 50];
+    body_only.write_all(part).await.unwrap();
+    let answer = read_answer(&mut body_only).await;
+    assert_eq!(status(&answer), "408", "{answer}");
+    drop(idle);
+    assert!(site.answers().await);
+}
