--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -56,7 +56,7 @@
     fn context(&mut self, now: Timestamp) -> Context<'_> {
         Context {
             now,
-            newest: None,
+            snapshots: &[],
             budgets: &mut self.budgets,
             suspects: &mut self.suspects,
             limits: &mut self.limits,
--- a/examples/model/policy.rs
+++ b/examples/model/policy.rs
@@ -149,7 +149,7 @@
     fn context(&mut self, now: Timestamp) -> Context<'_> {
         Context {
             now,
-            newest: None,
+            snapshots: &[],
             budgets: &mut self.budgets,
             suspects: &mut self.suspects,
             limits: &mut self.limits,
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -62,7 +62,7 @@
     let mut rng = instance.tables.rng.lock();
     let mut cx = Context {
         now: instance.clock.now(),
-        newest: directory.newest_known(state.query.index()),
+        snapshots: directory.snapshots(state.query.index()),
         suspects: &mut suspects,
         limits: &mut limits,
         upstreams: &mut upstreams,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod gate;
 mod heartbeat;
+mod held;
 mod instance;
 mod journal;
 mod latency;
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -19,7 +19,8 @@
 const MOST_DOUBLINGS: u32 = 16;
 const SLOW_START: Span = Span::from_secs(10);
 const LEAST_SHARE: f64 = 0.05;
-const GONE_REMEMBERED: Span = Span::from_secs(30);
+const GONE_REMEMBERED: Span = Span::from_secs(1);
+const SNAPSHOTS_REMEMBERED: usize = 2;
 const MEAN_WEIGHT: f64 = 0.2;
 const IDLE_HALF_LIFE: Span = Span::from_secs(1);
 
@@ -37,7 +38,7 @@
     busy_until: Timestamp,
     drains: u32,
     drained_until: Timestamp,
-    gone: Option<(SnapshotId, Timestamp)>,
+    gone: [Option<(SnapshotId, Timestamp)>; SNAPSHOTS_REMEMBERED],
 }
 
 /// How ready an upstream is for one more leg; the smaller, the better.
@@ -67,7 +68,7 @@
             busy_until: Timestamp::default(),
             drains: 0,
             drained_until: Timestamp::default(),
-            gone: None,
+            gone: [None; SNAPSHOTS_REMEMBERED],
         }
     }
 
@@ -90,14 +91,19 @@
         now < self.drained_until || self.lost(now, snapshot)
     }
 
-    /// Whether it said that it no longer holds the snapshot.
+    /// Whether it said that it does not hold the snapshot. That says nothing of others:
+    /// it may have dropped an old one or not have loaded a new one yet.
     pub(super) fn lost(&self, now: Timestamp, snapshot: SnapshotId) -> bool {
-        self.gone
-            .is_some_and(|(id, until)| id >= snapshot && now < until)
+        let mut gone = self.gone.iter().flatten();
+        gone.any(|(id, until)| *id == snapshot && now < *until)
     }
 
     pub(super) fn lose(&mut self, now: Timestamp, snapshot: SnapshotId) {
-        self.gone = Some((snapshot, now + GONE_REMEMBERED));
+        let known = |gone: &Option<(SnapshotId, Timestamp)>| {
+            gone.is_none_or(|(id, until)| id == snapshot || until <= now)
+        };
+        let at = self.gone.iter().position(known).unwrap_or_default();
+        self.gone[at] = Some((snapshot, now + GONE_REMEMBERED));
     }
 
     /// Until when it sheds, as far as it said.
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -8,12 +8,13 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::held::Held;
 use super::latency::Latency;
 use super::observed::{Observed, Readiness, micros};
 use super::{Limits, Table};
 use crate::request::LegFailure;
 use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
-use crate::version::UpstreamSpec;
+use crate::version::{Snapshot, UpstreamSpec};
 
 const FIRST_LATENCY: Span = Span::from_millis(20);
 const START_GRACE: Span = Span::from_secs(5);
@@ -65,6 +66,7 @@
     by_name: Table<UpstreamName, Observed>,
     by_class: Table<ClassName, ClassLatency>,
     by_domain: Table<FailureDomain, f64>,
+    held: Held,
     home: Option<FailureDomain>,
     first_use: Option<Timestamp>,
     prune_at: usize,
@@ -156,6 +158,21 @@
         &mut self.by_class[class]
     }
 
+    /// Whether a query may set out on a snapshot, going by what others found.
+    pub(crate) fn expects_held(&mut self, now: Timestamp, snapshot: &Snapshot) -> bool {
+        self.held.expects(now, snapshot)
+    }
+
+    /// Notes that no replica of some shard holds the snapshot.
+    pub(crate) fn note_not_held(&mut self, now: Timestamp, snapshot: &Snapshot) {
+        self.held.note_missing(now, snapshot);
+    }
+
+    /// Notes that every shard replied from the snapshot.
+    pub(crate) fn note_held(&mut self, snapshot: &Snapshot) {
+        self.held.note_held(snapshot);
+    }
+
     /// The legs under way at all upstreams.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -9,7 +9,10 @@
 
 impl Query {
     /// The answer of whichever snapshot covers more keys, or why there is none.
-    pub(super) fn outcome(&mut self, cx: &Context<'_>) -> Result<Answer, Refusal> {
+    pub(super) fn outcome(&mut self, cx: &mut Context<'_>) -> Result<Answer, Refusal> {
+        if self.replied == self.shards.len() {
+            cx.upstreams.note_held(&self.snapshot);
+        }
         let parts = self.take_parts();
         let snapshot = Arc::clone(&self.snapshot);
         let mut best = Previous { snapshot, parts };
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -12,7 +12,7 @@
 use super::{Answer, LegFailure, LegReply, LegRequest, admit};
 use crate::error::{Ran, Refusal};
 use crate::process::{Budgets, Extra, LegEnd, Limits, Suspects, Upstreams};
-use crate::types::{Fingerprint, IndexName, LegId, QueryId, Span, Timestamp};
+use crate::types::{Fingerprint, IndexName, LegId, QueryId, SnapshotId, Span, Timestamp};
 use crate::version::{Class, Snapshot};
 
 /// What happens to a query.
@@ -46,8 +46,8 @@
 pub struct Context<'a> {
     /// The present.
     pub now: Timestamp,
-    /// The newest snapshot of the query's index, if any is known.
-    pub newest: Option<&'a Arc<Snapshot>>,
+    /// The published snapshots of the query's index, newest first.
+    pub snapshots: &'a [Arc<Snapshot>],
     /// The requests that crashed upstreams.
     pub suspects: &'a mut Suspects,
     /// This instance's share of every upstream's slots.
@@ -90,7 +90,8 @@
     /// The last estimate of when to hedge, and when it was made.
     pub(super) hedge_plan: Option<(Timestamp, Option<Span>)>,
     pub(super) previous: Option<Previous>,
-    pub(super) restarts: u32,
+    /// The snapshots that it has left because they are not held any more or not yet.
+    pub(super) left_snapshots: Vec<SnapshotId>,
     finished: bool,
 }
 
@@ -130,7 +131,7 @@
             held: Vec::new(),
             hedge_plan: None,
             previous: None,
-            restarts: 0,
+            left_snapshots: Vec::new(),
             finished: false,
         }
     }
@@ -151,6 +152,7 @@
         if cx.suspects.is_suspect(cx.now, self.fingerprint) {
             self.crashes.on_known_suspect();
         }
+        self.prefer_held_snapshot(cx);
         self.send_first_legs(cx, &mut actions);
         self.settle(cx, &mut actions);
         actions
--- a/src/request/restart.rs
+++ b/src/request/restart.rs
@@ -1,7 +1,8 @@
-//! The change of a whole query to a newer snapshot.
+//! The change of a whole query to another snapshot.
 //!
 //! Parts of two snapshots never meet in one answer: either the query begins again on
-//! the newest snapshot, or its answer says which keys are missing. See
+//! the newest snapshot that upstreams hold, or its answer says which keys are missing.
+//! A snapshot may be held no longer, or not yet. See
 //! `docs/DESIGN.md`, "Snapshot".
 
 use std::sync::Arc;
@@ -12,7 +13,7 @@
 use crate::types::{KeyRange, Ratio};
 use crate::version::Snapshot;
 
-const MOST_RESTARTS: u32 = 2;
+const MOST_RESTARTS: usize = 2;
 
 /// What was collected of a snapshot that the query has left.
 #[derive(Debug)]
@@ -22,43 +23,68 @@
 }
 
 impl Query {
-    /// Begins again on the newest snapshot when this one can no longer give an answer
-    /// that meets the target and the time left suffices.
+    /// Sets out on another snapshot when other queries found this one not held.
+    pub(super) fn prefer_held_snapshot(&mut self, cx: &mut Context<'_>) {
+        if cx.upstreams.expects_held(cx.now, &self.snapshot) {
+            return;
+        }
+        if let Some(other) = self.other_snapshot(cx) {
+            self.use_snapshot(other);
+        }
+    }
+
+    /// Begins again on another snapshot when this one can no longer give an answer that
+    /// meets the target and the time left suffices.
     pub(super) fn restart_if_worthwhile(
         &mut self,
         cx: &mut Context<'_>,
         actions: &mut Vec<Action>,
     ) {
-        if !self.snapshot_lost || !self.may_restart() {
+        if !self.snapshot_lost || self.reaches_target() {
+            return;
+        }
+        cx.upstreams.note_not_held(cx.now, &self.snapshot);
+        let class = cx.upstreams.class(&self.class.name);
+        let in_time = self.deadline.since(cx.now) > hedge::likely(class);
+        if !in_time || !self.may_restart() {
             return;
         }
-        let newest = cx.newest.filter(|newest| newest.id > self.snapshot.id);
-        let latency = cx.upstreams.class(&self.class.name);
-        let in_time = self.deadline.since(cx.now) > hedge::likely(latency);
-        if let Some(newest) = newest.filter(|_| in_time) {
-            let newest = Arc::clone(newest);
-            self.restart(cx, newest, actions);
+        if let Some(other) = self.other_snapshot(cx) {
+            self.restart(cx, other, actions);
         }
     }
 
+    /// The newest snapshot that this query has not left and that may be held.
+    fn other_snapshot(&self, cx: &mut Context<'_>) -> Option<Arc<Snapshot>> {
+        let other = cx.snapshots.iter().find(|other| {
+            other.id != self.snapshot.id
+                && !self.left_snapshots.contains(&other.id)
+                && cx.upstreams.expects_held(cx.now, other)
+        });
+        other.cloned()
+    }
+
+    fn reaches_target(&self) -> bool {
+        let keys = KeyRange::ALL.width();
+        Ratio::of(keys - self.lost_keys, keys) >= self.class.targets.coverage
+    }
+
     fn may_restart(&self) -> bool {
-        let reachable = Ratio::of(
-            KeyRange::ALL.width() - self.lost_keys,
-            KeyRange::ALL.width(),
-        );
         let runs_twice = !self.class.targets.repeatable && self.may_have_run();
-        reachable < self.class.targets.coverage
-            && self.restarts < MOST_RESTARTS
-            && !runs_twice
-            && !self.crashes.suspected()
+        self.left_snapshots.len() < MOST_RESTARTS && !runs_twice && !self.crashes.suspected()
     }
 
-    fn restart(&mut self, cx: &mut Context<'_>, newest: Arc<Snapshot>, actions: &mut Vec<Action>) {
+    fn restart(&mut self, cx: &mut Context<'_>, other: Arc<Snapshot>, actions: &mut Vec<Action>) {
         self.cancel_all(cx, actions);
         self.keep_previous();
-        self.restarts += 1;
+        self.left_snapshots.push(self.snapshot.id);
+        self.use_snapshot(other);
+        self.send_first_legs(cx, actions);
+    }
+
+    fn use_snapshot(&mut self, snapshot: Arc<Snapshot>) {
+        self.snapshot = snapshot;
         self.snapshot_lost = false;
-        self.snapshot = newest;
         self.shards.clear();
         self.shards
             .resize_with(self.snapshot.shards.len(), ShardState::default);
@@ -66,7 +92,6 @@
         self.replied = 0;
         self.lost_keys = 0;
         self.held.clear();
-        self.send_first_legs(cx, actions);
     }
 
     fn keep_previous(&mut self) {
--- a/src/version/directory.rs
+++ b/src/version/directory.rs
@@ -48,7 +48,7 @@
     /// # Errors
     /// [`ErrorKind::NoSnapshot`] when none is published.
     pub fn newest(&self, index: &IndexName) -> Result<Arc<Snapshot>, Refusal> {
-        self.newest_known(index).cloned().ok_or_else(|| {
+        self.snapshots(index).first().cloned().ok_or_else(|| {
             Refusal::new(
                 ErrorKind::NoSnapshot,
                 format!("index {index} has no snapshot"),
@@ -56,10 +56,12 @@
         })
     }
 
-    /// The newest snapshot of an index, if any is published.
+    /// The published snapshots of an index, newest first.
     #[must_use]
-    pub fn newest_known(&self, index: &IndexName) -> Option<&Arc<Snapshot>> {
-        self.indexes.get(index)?.snapshots.first()
+    pub fn snapshots(&self, index: &IndexName) -> &[Arc<Snapshot>] {
+        self.indexes
+            .get(index)
+            .map_or(&[], |index| &index.snapshots)
     }
 
     /// This directory with other classes, unless they are older than its own.
