Change classes by one conditional write that states its own row

Cause: classes could only be set by writing the platform's object by hand, with no check of targets, no answer to operators that race, and nothing that says who changed what. A change now is one conditional write of the object of all classes, which carries the change's id, number and operator beside the classes. Its version orders every change. A lost reply is settled by reading back: the id is among the last 16 changes, or in the audit segment that a row reaches before it is dropped from there.

Ruled out: an object for each class (no order between them, a watch and a version each), an audit row written before or after (an accepted change could lack its row, or a row its change).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -28,12 +28,13 @@
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
 };
 pub use types::{
-    ByteCount, CallerName, CellSeq, ClassName, ConfigVersion, ConnectionCount, Coverage, Epoch,
-    FailureDomain, Fingerprint, IdempotencyKey, Incarnation, IndexName, InstanceName, KeyRange,
-    LegId, ObjectVersion, ParseError, PeerKey, PerSecond, Position, QueryId, Ratio, Region,
-    Revision, ShardId, SlotCount, SnapshotId, Span, Timestamp, UnixSeconds, UpstreamName,
+    ByteCount, CallerName, CellSeq, ChangeId, ChangeNumber, ClassName, ConfigVersion,
+    ConnectionCount, Coverage, Epoch, FailureDomain, Fingerprint, IdempotencyKey, Incarnation,
+    IndexName, InstanceName, KeyRange, LegId, ObjectVersion, OperatorName, ParseError, PeerKey,
+    PerSecond, Position, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span,
+    Timestamp, UnixSeconds, UpstreamName,
 };
 pub use version::{
-    Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire, Snapshot,
-    SnapshotWire, Targets, UpstreamSpec, UpstreamWire, WireError,
+    ChangeWire, Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire,
+    Snapshot, SnapshotWire, Targets, UpstreamSpec, UpstreamWire, WireError,
 };
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -48,6 +48,8 @@
     Peers,
     /// The times at which queries are to be woken.
     Timer,
+    /// The refused changes that are not yet written.
+    RefusedChanges,
     /// The calls that may still be made to the platform now.
     PlatformCalls,
     /// The connections to the platform that are kept.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,11 +4,15 @@
 mod addresses;
 mod admission;
 mod admitted;
+mod audit;
+mod audit_rows;
+mod audit_wire;
 mod budget;
 mod cell_table;
 mod cell_wire;
 mod cells;
 mod clock;
+mod config;
 mod dispatch;
 mod exchange;
 mod follow;
@@ -44,6 +48,8 @@
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
+mod audit_tests;
+#[cfg(test)]
 mod limits_tests;
 #[cfg(test)]
 mod process_tests;
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -48,6 +48,10 @@
     /// The version of the configuration, given by the platform's object API.
     ConfigVersion, u64, "a configuration version"
 }
+number! {
+    /// The place of a change in the order of all changes of classes, from one.
+    ChangeNumber, u64, "a change number"
+}
 number! {
     /// The version of one object in the platform's object API.
     ObjectVersion, u64, "an object version"
@@ -126,3 +130,23 @@
             .map_err(|_| ParseError::new("a query id", text, "it is not a hexadecimal number"))
     }
 }
+
+/// One change of a class, named by its sender, so that sending it again changes nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ChangeId(pub u128);
+
+impl fmt::Display for ChangeId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for ChangeId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("a change id", text, "it is not a hexadecimal number"))
+    }
+}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -16,13 +16,13 @@
 mod types_tests;
 
 pub use id::{
-    CellSeq, ConfigVersion, Epoch, Fingerprint, Incarnation, LegId, ObjectVersion, Position,
-    QueryId, Revision, ShardId, SnapshotId,
+    CellSeq, ChangeId, ChangeNumber, ConfigVersion, Epoch, Fingerprint, Incarnation, LegId,
+    ObjectVersion, Position, QueryId, Revision, ShardId, SnapshotId,
 };
 pub use key::{Coverage, KeyRange};
 pub use name::{
-    CallerName, ClassName, FailureDomain, IdempotencyKey, IndexName, InstanceName, Region,
-    UpstreamName,
+    CallerName, ClassName, FailureDomain, IdempotencyKey, IndexName, InstanceName, OperatorName,
+    Region, UpstreamName,
 };
 pub use rate::{PerSecond, Ratio};
 pub use secret::PeerKey;
--- a/src/types/name.rs
+++ b/src/types/name.rs
@@ -77,6 +77,10 @@
     /// Whoever sent a request.
     CallerName, "a caller name"
 }
+name! {
+    /// Whoever changes the configuration.
+    OperatorName, "an operator name"
+}
 name! {
     /// A group of machines that can be lost together.
     FailureDomain, "a failure domain"
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -5,6 +5,8 @@
 //! version it began with whatever is published meanwhile.
 
 mod class;
+mod classes;
+mod classes_wire;
 mod directory;
 mod snapshot;
 mod wire;
@@ -13,8 +15,9 @@
 mod version_tests;
 
 pub use class::{Class, Targets};
+pub use classes_wire::{ChangeWire, ClassWire, ClassesWire};
 pub use directory::{Directory, Index};
 pub use snapshot::{Shard, Snapshot, UpstreamSpec};
-pub use wire::{
-    ClassWire, ClassesWire, IndexWire, ShardWire, SnapshotWire, UpstreamWire, WireError,
-};
+pub use wire::{IndexWire, ShardWire, SnapshotWire, UpstreamWire, WireError};
+
+pub(crate) use classes::{AcceptedChange, Classes, SetClass};
--- a/src/version/version_tests.rs
+++ b/src/version/version_tests.rs
@@ -95,6 +95,7 @@
         coverage: "99.5%".to_owned(),
         extra_load: "5%".to_owned(),
         repeatable: true,
+        change: 0,
     };
     let class = Class::try_from(&wire).unwrap();
     assert_eq!(ClassWire::from(&class), wire);
--- a/src/version/wire.rs
+++ b/src/version/wire.rs
@@ -1,12 +1,11 @@
-//! How classes and indexes are written in the platform's objects and in answers to
-//! operators, apart from the types that decisions use; see `docs/INTERFACES.md`.
+//! How indexes are written in the platform's objects, apart from the types that decisions use; see `docs/INTERFACES.md`.
 
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::{Class, Index, Shard, Snapshot, Targets, UpstreamSpec};
+use super::{Index, Shard, Snapshot, UpstreamSpec};
 use crate::types::{
     ConnectionCount, Coverage, KeyRange, ObjectVersion, ParseError, ShardId, SlotCount, SnapshotId,
     UpstreamName,
@@ -42,7 +41,7 @@
     Partition(SnapshotId),
 }
 
-fn field<T>(field: &'static str, text: &str) -> Result<T, WireError>
+pub(super) fn field<T>(field: &'static str, text: &str) -> Result<T, WireError>
 where
     T: std::str::FromStr<Err = ParseError>,
 {
@@ -50,34 +49,6 @@
         .map_err(|cause| WireError::Field { field, cause })
 }
 
-/// The object that holds all classes.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ClassesWire {
-    /// The classes in the order of their creation.
-    pub classes: Vec<ClassWire>,
-}
-
-/// One class, with its targets as texts that people read and write.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ClassWire {
-    /// The class's name.
-    pub name: String,
-    /// The index it queries.
-    pub index: String,
-    /// The target of latency, such as `170ms`.
-    pub latency: String,
-    /// The target of coverage, such as `99.5%`.
-    pub coverage: String,
-    /// The target of extra load, such as `5%`.
-    pub extra_load: String,
-    /// Whether a request may run more than once.
-    pub repeatable: bool,
-}
-
 /// The object that holds one index.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -133,37 +104,6 @@
     pub replicas: Vec<String>,
 }
 
-impl From<&Class> for ClassWire {
-    fn from(class: &Class) -> Self {
-        Self {
-            name: class.name.to_string(),
-            index: class.index.to_string(),
-            latency: class.targets.latency.to_string(),
-            coverage: class.targets.coverage.to_string(),
-            extra_load: class.targets.extra_load.to_string(),
-            repeatable: class.targets.repeatable,
-        }
-    }
-}
-
-impl TryFrom<&ClassWire> for Class {
-    type Error = WireError;
-
-    fn try_from(wire: &ClassWire) -> Result<Self, WireError> {
-        let targets = Targets {
-            latency: field("latency", &wire.latency)?,
-            coverage: field("coverage", &wire.coverage)?,
-            extra_load: field("extra_load", &wire.extra_load)?,
-            repeatable: wire.repeatable,
-        };
-        Ok(Self {
-            name: field("name", &wire.name)?,
-            index: field("index", &wire.index)?,
-            targets,
-        })
-    }
-}
-
 impl TryFrom<&UpstreamWire> for UpstreamSpec {
     type Error = WireError;
 
