Let operators steer classes over HTTP and with commands

Cause: the configuration could be changed by code only. Operators now list, show, apply and remove classes, read the status of every instance and the audit trail, ask the addresses and send a query, over /v1/operator and with one subcommand each. They prove who they are by tokens that are signed with HMAC-SHA256; several keys are valid at once for a rotation, and without a key nobody is let in.

Ruled out: a list of tokens in the settings (every instance had to be told of each operator); changes without a statement of what the operator saw (two that race would undo each other unseen).

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -5,10 +5,11 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand};
+use clap_complete::Shell;
 
-use crate::process::{CallRates, Settings};
 use crate::types::{
-    ByteCount, ClassName, FailureDomain, InstanceName, PeerKey, PerSecond, Region, Span,
+    ByteCount, CallerName, ChangeNumber, ClassName, FailureDomain, IdempotencyKey, InstanceName,
+    OperatorKey, OperatorName, PeerKey, PerSecond, Region, Span,
 };
 
 /// A query tier over many shards.
@@ -27,6 +28,34 @@
     Serve(ServeArgs),
     /// Load running instances open-loop and report what callers saw.
     Load(LoadArgs),
+    /// Send one query and print its answer with the coverage.
+    Query(QueryArgs),
+    /// Show which addresses a caller should use.
+    Addresses(AddressesArgs),
+    /// List, show, apply or remove classes of work.
+    #[command(subcommand)]
+    Class(ClassSub),
+    /// Show every instance, and the configuration in force there.
+    Status(StatusArgs),
+    /// Show who changed which class, and what became of it.
+    Audit(AuditArgs),
+    /// Sign a token for an operator.
+    Token(TokenArgs),
+    /// Print completions for a shell.
+    Completions(CompletionsArgs),
+}
+
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
+enum ClassSub {
+    /// List all classes.
+    List(ClassListArgs),
+    /// Show one class.
+    Show(ClassShowArgs),
+    /// Create a class, or change the targets that are given.
+    Apply(ClassApplyArgs),
+    /// Remove a class.
+    Remove(ClassRemoveArgs),
 }
 
 /// The settings of an instance.
@@ -52,6 +81,15 @@
         hide_env_values = true
     )]
     pub(crate) peer_keys: Vec<PeerKey>,
+    /// The keys that tokens of operators are signed with, each as name:secret with a
+    /// secret of 32 bytes or more, separated by commas; without one no operator is let in.
+    #[arg(
+        long,
+        env = "HYSSOPWALK_OPERATOR_KEYS",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub(crate) operator_keys: Vec<OperatorKey>,
     /// Where other instances connect that are asked while the platform is away,
     /// separated by commas.
     #[arg(long, env = "HYSSOPWALK_SEEDS", value_delimiter = ',')]
@@ -127,6 +165,196 @@
     pub(crate) plot: Option<PathBuf>,
 }
 
+/// Whom to ask.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct AskArgs {
+    /// Instances to ask, separated by commas; the first that can be reached is asked.
+    #[arg(
+        long,
+        env = "HYSSOPWALK_INSTANCES",
+        value_delimiter = ',',
+        default_value = "127.0.0.1:7400"
+    )]
+    pub(crate) instance: Vec<SocketAddr>,
+    /// How long to wait for the reply.
+    #[arg(long, default_value = "10s")]
+    pub(crate) timeout: Span,
+    /// Print JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Whom to ask, and as which operator.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct OperatorArgs {
+    #[command(flatten)]
+    pub(crate) ask: AskArgs,
+    /// The operator's token, made by `hyssopwalk token`.
+    #[arg(long, env = "HYSSOPWALK_TOKEN", hide_env_values = true)]
+    pub(crate) token: Option<String>,
+    /// A file with the operator's token.
+    #[arg(long, env = "HYSSOPWALK_TOKEN_FILE")]
+    pub(crate) token_file: Option<PathBuf>,
+}
+
+/// Nothing but whom to ask.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct ClassListArgs {
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// Which class to show.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct ClassShowArgs {
+    /// The class.
+    pub(crate) name: ClassName,
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// A class and its targets; what is not given stays as it is.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct ClassApplyArgs {
+    /// The class.
+    pub(crate) name: ClassName,
+    /// The index that it queries.
+    #[arg(long)]
+    pub(crate) index: Option<String>,
+    /// 99 of 100 answers are to come within this time, such as 170ms.
+    #[arg(long)]
+    pub(crate) latency: Option<String>,
+    /// An answer that covers less counts as incomplete, such as 99.5%.
+    #[arg(long)]
+    pub(crate) coverage: Option<String>,
+    /// Legs beyond one for each shard, as a part of all, such as 5%.
+    #[arg(long)]
+    pub(crate) extra_load: Option<String>,
+    /// Whether a request may run more than once; orders may not.
+    #[arg(long)]
+    pub(crate) repeatable: Option<bool>,
+    /// The number of the change that set the class when you looked; the present one when
+    /// absent.
+    #[arg(long)]
+    pub(crate) seen: Option<ChangeNumber>,
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// Which class to remove.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct ClassRemoveArgs {
+    /// The class.
+    pub(crate) name: ClassName,
+    /// The number of the change that set the class when you looked; the present one when
+    /// absent.
+    #[arg(long)]
+    pub(crate) seen: Option<ChangeNumber>,
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// What to show of instances and upstreams.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct StatusArgs {
+    /// Show the upstreams, with the legs of all instances.
+    #[arg(long)]
+    pub(crate) upstreams: bool,
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// Which changes to show.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct AuditArgs {
+    /// Only changes of this class, among the accepted ones.
+    #[arg(long)]
+    pub(crate) class: Option<ClassName>,
+    /// Only accepted changes before this one.
+    #[arg(long)]
+    pub(crate) before: Option<ChangeNumber>,
+    /// At most so many accepted changes, and no more than 1000.
+    #[arg(long, default_value_t = 50)]
+    pub(crate) limit: usize,
+    #[command(flatten)]
+    pub(crate) operator: OperatorArgs,
+}
+
+/// For whom addresses are asked.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct AddressesArgs {
+    /// The caller.
+    #[arg(long, default_value = "operator")]
+    pub(crate) caller: CallerName,
+    /// The failure domain that the caller stands in.
+    #[arg(long)]
+    pub(crate) failure_domain: Option<FailureDomain>,
+    /// The region that the caller stands in.
+    #[arg(long)]
+    pub(crate) region: Option<Region>,
+    #[command(flatten)]
+    pub(crate) ask: AskArgs,
+}
+
+/// One query.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct QueryArgs {
+    /// The class.
+    pub(crate) class: ClassName,
+    /// The body.
+    #[arg(default_value = "{}")]
+    pub(crate) body: String,
+    /// Who asks.
+    #[arg(long, default_value = "operator")]
+    pub(crate) caller: CallerName,
+    /// The time that the query has, when it is less than the class's.
+    #[arg(long)]
+    pub(crate) within: Option<Span>,
+    /// The idempotency key, which an order must have.
+    #[arg(long)]
+    pub(crate) key: Option<IdempotencyKey>,
+    #[command(flatten)]
+    pub(crate) ask: AskArgs,
+}
+
+/// For whom a token is signed.
+#[derive(Clone, Debug)]
+#[derive(Args)]
+pub(crate) struct TokenArgs {
+    /// The operator.
+    #[arg(long)]
+    pub(crate) operator: OperatorName,
+    /// How long the token is valid.
+    #[arg(long = "for", default_value = "86400s")]
+    pub(crate) duration: Span,
+    /// The keys of the instances; the first one signs.
+    #[arg(
+        long,
+        env = "HYSSOPWALK_OPERATOR_KEYS",
+        value_delimiter = ',',
+        hide_env_values = true
+    )]
+    pub(crate) operator_keys: Vec<OperatorKey>,
+}
+
+/// Which shell.
+#[derive(Clone, Copy, Debug)]
+#[derive(Args)]
+pub(crate) struct CompletionsArgs {
+    /// The shell.
+    pub(crate) shell: Shell,
+}
+
 impl Cmd {
     /// Runs the subcommand and says how it went.
     #[must_use]
@@ -134,6 +362,16 @@
         let ran = match self.command {
             Sub::Serve(args) => args.run(),
             Sub::Load(args) => args.run(),
+            Sub::Query(args) => args.run(),
+            Sub::Addresses(args) => args.run(),
+            Sub::Class(ClassSub::List(args)) => args.run(),
+            Sub::Class(ClassSub::Show(args)) => args.run(),
+            Sub::Class(ClassSub::Apply(args)) => args.run(),
+            Sub::Class(ClassSub::Remove(args)) => args.run(),
+            Sub::Status(args) => args.run(),
+            Sub::Audit(args) => args.run(),
+            Sub::Token(args) => args.run(),
+            Sub::Completions(args) => Ok(args.run()),
         };
         match ran {
             Ok(code) => code,
@@ -144,29 +382,3 @@
         }
     }
 }
-
-impl From<ServeArgs> for Settings {
-    fn from(args: ServeArgs) -> Self {
-        Self {
-            name: args.name,
-            listen: args.listen,
-            peer_listen: args
-                .peer_listen
-                .unwrap_or(SocketAddr::new(args.listen.ip(), 0)),
-            peer_keys: args.peer_keys,
-            seeds: args.seeds,
-            heartbeat: args.heartbeat,
-            address_keep: args.address_keep,
-            drain: args.drain,
-            platform: args.platform,
-            platform_rates: CallRates {
-                reads: args.platform_reads,
-                writes: args.platform_writes,
-            },
-            failure_domain: args.failure_domain,
-            region: args.region,
-            workers: args.workers,
-            most_body: args.most_body,
-        }
-    }
-}
--- /dev/null
+++ b/src/cmd/completions.rs
@@ -0,0 +1,21 @@
+//! `hyssopwalk completions`: prints completions for a shell.
+
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+
+use super::Cmd;
+use super::args::CompletionsArgs;
+
+impl CompletionsArgs {
+    pub(crate) fn run(self) -> ExitCode {
+        let mut command = Cmd::command();
+        clap_complete::generate(
+            self.shell,
+            &mut command,
+            "hyssopwalk",
+            &mut std::io::stdout(),
+        );
+        ExitCode::SUCCESS
+    }
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,7 +1,21 @@
 //! The command line: one file with its types, and one file for each subcommand.
 
+mod addresses;
 mod args;
+mod audit;
+mod class;
+mod class_apply;
+mod class_list;
+mod class_remove;
+mod class_show;
+mod client;
+mod completions;
+mod exit;
 mod load;
+mod query;
 mod serve;
+mod status;
+mod table;
+mod token;
 
 pub use args::{Cmd, LoadArgs, ServeArgs};
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -14,7 +14,7 @@
 
 use super::ServeArgs;
 use crate::connection;
-use crate::process::{Instance, Settings, Step};
+use crate::process::{CallRates, Instance, Settings, Step};
 use crate::types::Span;
 
 /// Requests were cut off because a planned stop did not finish in time.
@@ -131,3 +131,30 @@
         }
     }
 }
+
+impl From<ServeArgs> for Settings {
+    fn from(args: ServeArgs) -> Self {
+        Self {
+            name: args.name,
+            listen: args.listen,
+            peer_listen: args
+                .peer_listen
+                .unwrap_or(SocketAddr::new(args.listen.ip(), 0)),
+            peer_keys: args.peer_keys,
+            operator_keys: args.operator_keys,
+            seeds: args.seeds,
+            heartbeat: args.heartbeat,
+            address_keep: args.address_keep,
+            drain: args.drain,
+            platform: args.platform,
+            platform_rates: CallRates {
+                reads: args.platform_reads,
+                writes: args.platform_writes,
+            },
+            failure_domain: args.failure_domain,
+            region: args.region,
+            workers: args.workers,
+            most_body: args.most_body,
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/table.rs
@@ -0,0 +1,36 @@
+//! Prints rows as a table for people, or as JSON for programs.
+
+use std::io::Write;
+
+use anyhow::Result;
+use serde::Serialize;
+use tabwriter::TabWriter;
+
+use crate::types::{Span, UnixSeconds};
+
+/// Prints one line for each row below a line of headings.
+pub(super) fn print_table(headings: &[&str], rows: &[Vec<String>]) -> Result<()> {
+    let mut out = TabWriter::new(std::io::stdout().lock());
+    writeln!(out, "{}", headings.join("\t"))?;
+    for row in rows {
+        writeln!(out, "{}", row.join("\t"))?;
+    }
+    out.flush()?;
+    Ok(())
+}
+
+/// Prints a value as one line of JSON.
+pub(super) fn print_json(value: &impl Serialize) -> Result<()> {
+    println!("{}", serde_json::to_string(value)?);
+    Ok(())
+}
+
+/// A time of day for people, in UTC.
+pub(super) fn date(at: u64) -> String {
+    let since = Span::from_secs(UnixSeconds(at).0).as_duration();
+    let time = std::time::UNIX_EPOCH.checked_add(since);
+    time.map_or_else(
+        || at.to_string(),
+        |time| humantime::format_rfc3339_seconds(time).to_string(),
+    )
+}
--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -5,7 +5,7 @@
 use async_std::net::TcpListener;
 
 use super::caller::{self, Callers};
-use super::{address_api, query_api};
+use super::{address_api, operator_api, query_api};
 use crate::process::Instance;
 use crate::types::Span;
 
@@ -45,6 +45,7 @@
     app.at("/v1/classes/:class/query").post(query_api::post);
     app.at("/metrics").get(metrics);
     address_api::route(&mut app);
+    operator_api::route(&mut app);
     app.with(tide::utils::After(query_api::explain));
     app
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -3,6 +3,7 @@
 
 mod active;
 mod address_api;
+mod auth;
 mod backoff;
 mod caller;
 mod conn;
@@ -14,6 +15,8 @@
 mod heartbeat;
 mod leg_wire;
 mod links;
+mod operator_api;
+mod operator_wire;
 mod peer;
 mod peer_auth;
 mod peer_server;
@@ -24,6 +27,8 @@
 mod stream;
 mod watch;
 
+#[cfg(test)]
+mod auth_tests;
 #[cfg(test)]
 mod caller_tests;
 #[cfg(test)]
@@ -31,10 +36,15 @@
 #[cfg(test)]
 mod links_tests;
 
+pub(crate) use auth::sign as sign_token;
 pub(crate) use front::accept;
 pub(crate) use links::Links;
 pub(crate) use peer::Peers;
 pub(crate) use peer_server::accept as accept_peers;
 
 pub use address_api::{AddressWire, AddressesWire, CellStatusWire, MemberStatusWire, MembersWire};
+pub use operator_wire::{
+    AcceptedWire, AuditWire, ClassListWire, IndexStatusWire, RefusedChangeWire, StatusWire,
+    TargetsWire, UpstreamStatusWire,
+};
 pub use query_wire::{AnswerWire, CoverageWire, PartWire, RefusalWire};
--- a/src/connection/query_api.rs
+++ b/src/connection/query_api.rs
@@ -68,7 +68,10 @@
     })
 }
 
-async fn read_body(req: &mut Request<Cx>, most: ByteCount) -> Result<Arc<[u8]>, Refusal> {
+pub(super) async fn read_body(
+    req: &mut Request<Cx>,
+    most: ByteCount,
+) -> Result<Arc<[u8]>, Refusal> {
     let too_large = || {
         Refusal::new(
             ErrorKind::TooLarge,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,8 +15,9 @@
 
 pub use cmd::{Cmd, LoadArgs, ServeArgs};
 pub use connection::{
-    AddressWire, AddressesWire, AnswerWire, CellStatusWire, CoverageWire, MemberStatusWire,
-    MembersWire, PartWire, RefusalWire,
+    AcceptedWire, AddressWire, AddressesWire, AnswerWire, AuditWire, CellStatusWire, ClassListWire,
+    CoverageWire, IndexStatusWire, MemberStatusWire, MembersWire, PartWire, RefusalWire,
+    RefusedChangeWire, StatusWire, TargetsWire, UpstreamStatusWire,
 };
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
@@ -30,9 +31,9 @@
 pub use types::{
     ByteCount, CallerName, CellSeq, ChangeId, ChangeNumber, ClassName, ConfigVersion,
     ConnectionCount, Coverage, Epoch, FailureDomain, Fingerprint, IdempotencyKey, Incarnation,
-    IndexName, InstanceName, KeyRange, LegId, ObjectVersion, OperatorName, ParseError, PeerKey,
-    PerSecond, Position, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId, Span,
-    Timestamp, UnixSeconds, UpstreamName,
+    IndexName, InstanceName, KeyRange, LegId, ObjectVersion, OperatorKey, OperatorName, ParseError,
+    PeerKey, PerSecond, Position, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId,
+    Span, Timestamp, UnixSeconds, UpstreamName,
 };
 pub use version::{
     ChangeWire, Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire,
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -15,8 +15,8 @@
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
 use super::{
-    Clock, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat, poison,
-    pool,
+    Clock, Config, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat,
+    poison, pool,
 };
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
@@ -41,6 +41,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) orders: Arc<Orders>,
+    pub(crate) config: Config,
     pub(crate) members: Ranked<Members>,
     pub(crate) peers: Peers,
     pub(crate) beats: Beats,
@@ -73,6 +74,7 @@
             jobs,
             metrics: Metrics::new()?,
             orders: Orders::new(Arc::clone(&platform), clock),
+            config: Config::new(Arc::clone(&platform), clock),
             platform,
             members: Ranked::new(Rank::Members, members),
             peers,
@@ -87,6 +89,7 @@
         let (wake, news) = channel::bounded(1);
         instance.tables.suspects.lock().wake_on_news(wake);
         async_std::task::spawn(poison::share(Arc::clone(&instance), news));
+        async_std::task::spawn(Arc::clone(&instance.config.audit).flush_forever());
         follow::spawn(&instance);
         async_std::task::spawn(heartbeat::run(Arc::clone(&instance), end));
         Ok(instance)
--- a/src/process/process_tests.rs
+++ b/src/process/process_tests.rs
@@ -30,6 +30,7 @@
         listen: "127.0.0.1:8080".parse().unwrap(),
         peer_listen: "127.0.0.1:8082".parse().unwrap(),
         peer_keys: vec![],
+        operator_keys: Vec::new(),
         seeds: vec![],
         heartbeat: Span::from_secs(1),
         address_keep: Span::from_secs(10),
@@ -61,6 +62,20 @@
     change: |settings| settings.platform_rates.writes = PerSecond(0.5),
     wanted: |_| vec![SettingsError::PlatformRates],
 })]
+#[case::operator_key_twice(Case {
+    change: |settings| {
+        let key = format!("k1:{}", "a".repeat(32)).parse().unwrap();
+        settings.operator_keys = vec![key; 2];
+    },
+    wanted: |_| vec![SettingsError::OperatorKeyTwice("k1".to_owned())],
+})]
+#[case::many_operator_keys(Case {
+    change: |settings| {
+        let key = |at| format!("k{at}:{}", "a".repeat(32)).parse().unwrap();
+        settings.operator_keys = (0..5).map(key).collect();
+    },
+    wanted: |_| vec![SettingsError::OperatorKeys(5)],
+})]
 #[case::own_platform(Case {
     change: |settings| settings.platform = settings.listen,
     wanted: |listen| vec![SettingsError::SameAddress(listen)],
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -4,11 +4,12 @@
 
 use super::CallRates;
 use super::shutdown::StopTimes;
-use crate::types::{ByteCount, FailureDomain, InstanceName, PeerKey, Region, Span};
+use crate::types::{ByteCount, FailureDomain, InstanceName, OperatorKey, PeerKey, Region, Span};
 
 const MOST_WORKERS: usize = 64;
 const LEAVING_HEARD_BEATS: u64 = 5;
 const MOST_PEER_KEYS: usize = 4;
+const MOST_OPERATOR_KEYS: usize = 4;
 const LEAST_HEARTBEAT: Span = Span::from_millis(50);
 const MOST_HEARTBEAT: Span = Span::from_secs(1);
 const LEAST_FETCH_TIMEOUT: Span = Span::from_secs(2);
@@ -24,6 +25,8 @@
     pub peer_listen: SocketAddr,
     /// The keys that instances prove to each other that they have.
     pub peer_keys: Vec<PeerKey>,
+    /// The keys that tokens of operators are signed with; without one no operator is let in.
+    pub operator_keys: Vec<OperatorKey>,
     /// Where other instances connect that are asked while the platform is away.
     pub seeds: Vec<SocketAddr>,
     /// The time between two heartbeats.
@@ -62,6 +65,12 @@
     /// More keys are valid at a time than a rotation needs.
     #[error("--peer-keys takes at most {MOST_PEER_KEYS} keys, not {0}")]
     PeerKeys(usize),
+    /// More keys are valid at a time than a rotation needs.
+    #[error("--operator-keys takes at most {MOST_OPERATOR_KEYS} keys, not {0}")]
+    OperatorKeys(usize),
+    /// A token could be signed with either of two keys.
+    #[error("--operator-keys has two keys named {0}")]
+    OperatorKeyTwice(String),
     /// Heartbeats are too close together, or a configuration would not be in force in
     /// time.
     #[error("--heartbeat must be between {LEAST_HEARTBEAT} and {MOST_HEARTBEAT}, not {0}")]
@@ -92,6 +101,16 @@
         self.heartbeat.max(LEAST_FETCH_TIMEOUT)
     }
 
+    fn check_operator_keys(&self) -> Option<SettingsError> {
+        let keys = &self.operator_keys;
+        if keys.len() > MOST_OPERATOR_KEYS {
+            return Some(SettingsError::OperatorKeys(keys.len()));
+        }
+        let twice = |at: usize| keys[..at].iter().any(|key| key.id() == keys[at].id());
+        let at = (0..keys.len()).find(|at| twice(*at))?;
+        Some(SettingsError::OperatorKeyTwice(keys[at].id().to_owned()))
+    }
+
     /// Everything that is wrong with the settings.
     #[must_use]
     pub fn check(&self) -> Vec<SettingsError> {
@@ -109,6 +128,7 @@
         if self.peer_keys.len() > MOST_PEER_KEYS {
             errors.push(SettingsError::PeerKeys(self.peer_keys.len()));
         }
+        errors.extend(self.check_operator_keys());
         if !(LEAST_HEARTBEAT..=MOST_HEARTBEAT).contains(&self.heartbeat) {
             errors.push(SettingsError::Heartbeat(self.heartbeat));
         }
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -60,6 +60,15 @@
     },
 }
 
+/// What an instance observes of one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct UpstreamLoad {
+    /// Legs under way from this instance.
+    pub(crate) in_flight: u32,
+    /// What a leg is expected to take.
+    pub(crate) expected: Span,
+}
+
 /// Every upstream that was used lately, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
@@ -173,6 +182,17 @@
         self.held.note_held(snapshot);
     }
 
+    /// What was observed of each upstream, for operators.
+    pub(crate) fn loads(&self, now: Timestamp) -> Table<UpstreamName, UpstreamLoad> {
+        let load = |seen: &Observed| UpstreamLoad {
+            in_flight: seen.in_flight,
+            expected: Span::from_micros_f64(seen.expected_micros(now)),
+        };
+        let seen = self.by_name.iter();
+        seen.map(|(name, seen)| (name.clone(), load(seen)))
+            .collect()
+    }
+
     /// The legs under way at all upstreams.
     #[must_use]
     pub fn in_flight(&self) -> u32 {
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -25,7 +25,7 @@
     Region, UpstreamName,
 };
 pub use rate::{PerSecond, Ratio};
-pub use secret::PeerKey;
+pub use secret::{OperatorKey, PeerKey};
 pub use size::{ByteCount, ConnectionCount, SlotCount};
 pub use time::{Span, Timestamp, UnixSeconds};
 
--- a/src/types/time.rs
+++ b/src/types/time.rs
@@ -49,6 +49,17 @@
         Self(secs.saturating_mul(Self::MICROS_PER_SECOND))
     }
 
+    /// A span of a calculated number of microseconds; zero when that is not positive.
+    #[must_use]
+    pub fn from_micros_f64(micros: f64) -> Self {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "the cast cuts to the range of the type"
+        )]
+        Self(micros.round() as u64)
+    }
+
     /// Whole milliseconds, rounded down.
     #[must_use]
     pub const fn as_millis(self) -> u64 {
--- a/tests/standin/instance.rs
+++ b/tests/standin/instance.rs
@@ -2,10 +2,17 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
 
 use super::platform::Platform;
 use super::{free_addr, guild};
 
+/// The keys that operators' tokens are signed with, the newest first.
+pub(crate) const OPERATOR_KEYS: &str =
+    "k2:0123456789abcdef0123456789abcdef,k1:fedcba9876543210fedcba9876543210";
+
 /// One process, stopped when dropped.
 #[derive(Debug)]
 pub(crate) struct Instance {
@@ -14,21 +21,42 @@
 }
 
 impl Instance {
-    /// Starts an instance of that name in the Guild's first failure domain.
+    /// Starts an instance of that name in the Guild's first failure domain, on another
+    /// port when a process took the free one first.
     pub(crate) async fn start(name: &str, platform: &Platform) -> Self {
-        let addr = free_addr().await;
+        loop {
+            let mut instance = Self::start_at(free_addr().await, name, platform);
+            if instance.listens().await {
+                return instance;
+            }
+        }
+    }
+
+    fn start_at(addr: SocketAddr, name: &str, platform: &Platform) -> Self {
         let binary = option_env!("CARGO_BIN_EXE_hyssopwalk").unwrap_or_default();
         let child = Command::new(binary)
             .args(["serve", "--region", "central", "--name", name])
             .args(["--failure-domain", guild::FAILURE_DOMAINS[0]])
             .args(["--listen", &addr.to_string()])
             .args(["--platform", &platform.addr.to_string()])
+            .env("HYSSOPWALK_OPERATOR_KEYS", OPERATOR_KEYS)
             .stderr(Stdio::null())
             .spawn()
             .expect("the binary starts");
         Self { addr, child }
     }
 
+    /// Waits until it listens; false when it ended instead.
+    async fn listens(&mut self) -> bool {
+        while TcpStream::connect(self.addr).await.is_err() {
+            if self.child.try_wait().expect("it was started").is_some() {
+                return false;
+            }
+            async_std::task::sleep(Duration::from_millis(5)).await;
+        }
+        true
+    }
+
     /// Ends it at once, as a crash would.
     pub(crate) fn kill(&mut self) {
         self.child.kill().ok();
