--- a/tests/standin/instance.rs
+++ b/tests/standin/instance.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_std::net::TcpStream;
+use rustix::process::{Pid, Signal, kill_process};
 
 use super::platform::Platform;
 use super::{free_addr, guild};
@@ -57,6 +58,12 @@
         true
     }
 
+    /// Stops it from running, as a paused machine would.
+    pub(crate) fn pause(&self) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("a process id"), Signal::STOP).expect("the process is there");
+    }
+
     /// Ends it at once, as a crash would.
     pub(crate) fn kill(&mut self) {
         self.child.kill().ok();
--- a/tests/standin/upstream.rs
+++ b/tests/standin/upstream.rs
@@ -56,6 +56,8 @@
     pub(crate) one_way: Duration,
     /// How long it takes to accept a connection, one after another.
     pub(crate) connect: Duration,
+    /// Closes every connection as soon as it is made.
+    pub(crate) lost: bool,
     /// How many connections it accepts at the same time; all when zero.
     pub(crate) connections: usize,
     /// How much longer each of the first legs takes, and how many they are.
@@ -169,6 +171,9 @@
     async fn accept(self: &Arc<Self>, stream: TcpStream) {
         let behaviour = *self.behaviour.lock();
         async_std::task::sleep(behaviour.connect).await;
+        if behaviour.lost {
+            return;
+        }
         if behaviour.connections > 0 && self.open() >= behaviour.connections {
             self.refused.fetch_add(1, Ordering::Relaxed);
             return;
