Show that marks of poison are followed, not only learnt

Cause: with the adoption of others' marks taken out, tests/poison.rs still passed, for the second instance learned of the poison by losing upstreams of its own.

A second case states marks on the platform while every upstream sheds, so that nothing can be learnt otherwise.

--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -5,10 +5,12 @@
 
 use std::net::SocketAddr;
 
+use hyssopwalk::Fingerprint;
+use serde_json::json;
 use standin::instance::Instance;
 use standin::platform::Platform;
 use standin::upstream::Mode;
-use standin::{guild, query, until};
+use standin::{guild, query, unix_seconds, until};
 
 const CLASS: &str = "courier-board";
 const POISON: &str = "{\"crash\":1}";
@@ -76,3 +78,22 @@
     }
     assert_eq!(runs(&index), before);
 }
+
+#[async_std::test]
+async fn marks_of_others_are_followed() {
+    let platform = Platform::start().await;
+    let index = guild::start(&platform, &guild::SIZES[3..]).await.remove(0);
+    let one = Instance::start("one", &platform).await;
+    let two = Instance::start("two", &platform).await;
+    // Nothing replies, which would clear the request, and nothing crashes.
+    all_behave(&index, Mode::Shed);
+    let request = Fingerprint::of(&CLASS.parse().unwrap(), POISON.as_bytes());
+    let marks = json!({ "marks": [[request.to_string(), 2, unix_seconds()]] });
+    platform.set("poison/marks", marks);
+    for addr in [one.addr, two.addr] {
+        until("the request to be refused", || async move {
+            kind(addr, POISON).await == "poison"
+        })
+        .await;
+    }
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -70,6 +70,11 @@
 
 /// A key for an order that is first sent now.
 pub(crate) fn order_key(name: &str) -> String {
+    format!("{}:{name}", unix_seconds())
+}
+
+/// The time of day in seconds since 1970.
+pub(crate) fn unix_seconds() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    format!("{}:{name}", since.expect("a time after 1970").as_secs())
+    since.expect("a time after 1970").as_secs()
 }
