--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,169 +1,13 @@
 //! Several instances as processes of their own, on one platform.
 
+mod fleet_of;
 mod standin;
 
-use std::net::SocketAddr;
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Duration;
-
-use async_std::net::TcpStream;
-use hyssopwalk::{AddressesWire, MembersWire};
-use rustix::process::{Pid, Signal, kill_process};
+use fleet_of::{Instance, NAMES, Start, all_know, fleet, get};
+use hyssopwalk::AddressesWire;
+use rustix::process::Signal;
 use standin::platform::Platform;
-use standin::{free_addr, guild, query, send, until};
-use tide::http::Request;
-
-const KEY: &str = "0123456789abcdef";
-
-/// One process, stopped when dropped.
-struct Instance {
-    name: String,
-    addr: SocketAddr,
-    child: Child,
-}
-
-/// What an instance is started with.
-#[derive(Clone, Copy, Debug)]
-struct Start<'a> {
-    name: &'a str,
-    failure_domain: &'a str,
-    key: &'a str,
-    keep: &'a str,
-    seeds: &'a str,
-}
-
-impl Default for Start<'_> {
-    fn default() -> Self {
-        Self {
-            name: "one",
-            failure_domain: guild::FAILURE_DOMAINS[0],
-            key: KEY,
-            keep: "300ms",
-            seeds: "",
-        }
-    }
-}
-
-impl Start<'_> {
-    /// Starts it on a free port; on another one when a process took that port first.
-    async fn run(self, platform: SocketAddr) -> Instance {
-        loop {
-            let mut instance = self.run_at(free_addr().await, platform);
-            if instance.listens().await {
-                return instance;
-            }
-        }
-    }
-
-    fn run_at(self, addr: SocketAddr, platform: SocketAddr) -> Instance {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"));
-        command
-            .args(["serve", "--region", "central", "--heartbeat", "100ms"])
-            .args(["--name", self.name])
-            .args(["--failure-domain", self.failure_domain])
-            .args(["--listen", &addr.to_string()])
-            .args(["--platform", &platform.to_string()])
-            .args(["--address-keep", self.keep])
-            .env("HYSSOPWALK_PEER_KEYS", self.key)
-            .stderr(Stdio::null());
-        if !self.seeds.is_empty() {
-            command.args(["--seeds", self.seeds]);
-        }
-        Instance {
-            name: self.name.to_owned(),
-            addr,
-            child: command.spawn().expect("the binary starts"),
-        }
-    }
-}
-
-impl Instance {
-    /// Waits until it listens; false when it ended instead.
-    async fn listens(&mut self) -> bool {
-        while TcpStream::connect(self.addr).await.is_err() {
-            if self.child.try_wait().expect("it was started").is_some() {
-                return false;
-            }
-            async_std::task::sleep(Duration::from_millis(5)).await;
-        }
-        true
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        kill_process(pid.expect("a process id"), signal).expect("the process is there");
-    }
-
-    /// Waits in a thread of its own, so that others go on.
-    async fn exited(mut self) -> ExitStatus {
-        async_std::task::spawn_blocking(move || self.child.wait().expect("it was started")).await
-    }
-
-    async fn members(&self) -> Option<MembersWire> {
-        get(self.addr, "/v1/members").await.ok()
-    }
-
-    async fn ready(&self) -> bool {
-        let url = format!("http://{}/readyz", self.addr);
-        let sent = send(Request::get(url.as_str())).await;
-        sent.is_ok_and(|res| res.status() == 200)
-    }
-
-    /// The names of the live instances that it knows of, in order.
-    async fn live(&self) -> Vec<String> {
-        let Some(members) = self.members().await else {
-            return Vec::new();
-        };
-        let cells = members.cells.into_iter();
-        let live = cells
-            .flat_map(|cell| cell.members)
-            .filter(|member| member.state == "live");
-        let mut names: Vec<String> = live.map(|member| member.name).collect();
-        names.sort();
-        names
-    }
-}
-
-impl Drop for Instance {
-    fn drop(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-    }
-}
-
-async fn get<T: serde::de::DeserializeOwned>(addr: SocketAddr, path: &str) -> std::io::Result<T> {
-    let url = format!("http://{addr}{path}");
-    let mut res = send(Request::get(url.as_str())).await?;
-    res.body_json()
-        .await
-        .map_err(|error| std::io::Error::other(error.to_string()))
-}
-
-const NAMES: [&str; 6] = ["a0", "a1", "b0", "b1", "c0", "c1"];
-
-/// Starts six instances, two in each failure domain, and waits until each knows all.
-async fn fleet(platform: &Platform) -> Vec<Instance> {
-    let mut instances = Vec::new();
-    for (at, name) in NAMES.iter().enumerate() {
-        let start = Start {
-            name,
-            failure_domain: guild::FAILURE_DOMAINS[at / 2],
-            ..Start::default()
-        };
-        instances.push(start.run(platform.addr).await);
-    }
-    all_know(&instances, &NAMES).await;
-    instances
-}
-
-async fn all_know(instances: &[Instance], names: &[&str]) {
-    for instance in instances {
-        until(&format!("{} to know {names:?}", instance.name), || async {
-            instance.ready().await && instance.live().await == names
-        })
-        .await;
-    }
-}
+use standin::{guild, query, until};
 
 #[async_std::test]
 async fn six_instances_agree_on_who_is_alive() {
@@ -196,15 +40,7 @@
     let instances = fleet(&platform).await;
     let classes = platform.value("config/classes").unwrap();
     let version = platform.set("config/classes", classes);
-    for instance in &instances {
-        until("the configuration to be in force", || async {
-            instance
-                .members()
-                .await
-                .is_some_and(|members| members.config == version)
-        })
-        .await;
-    }
+    in_force(&instances, version).await;
 }
 
 #[async_std::test]
@@ -283,3 +119,95 @@
     let (status, _) = query(new.addr, "courier-board", "{}").await.unwrap();
     assert_eq!(status, 200);
 }
+
+async fn leader_of(instances: &[Instance], cell: &str) -> usize {
+    for (at, instance) in instances.iter().enumerate() {
+        let members = instance.members().await.unwrap();
+        if members.role == "leading" && members.cell.as_deref() == Some(cell) {
+            return at;
+        }
+    }
+    panic!("{cell} has no leader");
+}
+
+async fn in_force(instances: &[Instance], version: u64) {
+    for instance in instances {
+        until("the configuration to be in force", || async {
+            let members = instance.members().await;
+            members.is_some_and(|members| members.config == version)
+        })
+        .await;
+    }
+}
+
+#[async_std::test]
+async fn a_paused_leader_is_replaced_and_follows_when_it_resumes() {
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let mut instances = fleet(&platform).await;
+    let paused = instances.remove(leader_of(&instances, "suva-a/0").await);
+    let before = paused.members().await.unwrap();
+    paused.signal(Signal::STOP);
+    let classes = platform.value("config/classes").unwrap();
+    let version = platform.set("config/classes", classes);
+    in_force(&instances, version).await;
+    until("another leader", || async {
+        let summary = platform.value("cells/suva-a/0").unwrap();
+        summary["epoch"].as_u64() > before.epoch
+    })
+    .await;
+
+    paused.signal(Signal::CONT);
+    until("the old leader to follow", || async {
+        let members = paused.members().await.unwrap();
+        members.role == "following" && members.epoch > before.epoch && members.config == version
+    })
+    .await;
+    let resumed = [paused];
+    all_know(&instances, &NAMES).await;
+    all_know(&resumed, &NAMES).await;
+}
+
+#[async_std::test]
+async fn a_lost_failure_domain_leaves_the_addresses() {
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let mut instances = fleet(&platform).await;
+    instances.drain(..2);
+    all_know(&instances, &NAMES[2..]).await;
+    for instance in &instances {
+        let path = "/v1/addresses?caller=x&failure_domain=suva-a&region=central";
+        let answer: AddressesWire = get(instance.addr, path).await.unwrap();
+        assert_eq!(answer.addresses.len(), 3);
+        for address in answer.addresses {
+            assert_ne!(address.failure_domain, "suva-a");
+        }
+    }
+}
+
+#[async_std::test]
+async fn an_outage_with_a_lost_leader_changes_nothing_until_it_is_over() {
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let mut instances = fleet(&platform).await;
+    let config = instances[0].members().await.unwrap().config;
+    platform.faults(|faults| faults.down = true);
+    drop(instances.remove(leader_of(&instances, "suva-a/0").await));
+    for instance in &instances {
+        until("its leader's lease to lapse", || async {
+            let members = instance.members().await.unwrap();
+            members.role == "orphan"
+        })
+        .await;
+        assert!(instance.ready().await);
+        let (status, _) = query(instance.addr, "courier-board", "{}").await.unwrap();
+        assert_eq!(status, 200);
+        assert_eq!(instance.members().await.unwrap().config, config);
+    }
+    platform.faults(|faults| faults.down = false);
+    let classes = platform.value("config/classes").unwrap();
+    let version = platform.set("config/classes", classes);
+    in_force(&instances, version).await;
+    let names: Vec<&str> = instances.iter().map(|one| one.name.as_str()).collect();
+    all_know(&instances, &names).await;
+}
--- /dev/null
+++ b/tests/fleet_of/mod.rs
@@ -0,0 +1,170 @@
+//! Instances as processes of their own, for tests.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
+
+use async_std::net::TcpStream;
+use hyssopwalk::MembersWire;
+use rustix::process::{Pid, Signal, kill_process};
+use tide::http::Request;
+
+use crate::standin::platform::Platform;
+use crate::standin::{free_addr, guild, send, until};
+
+pub(crate) const KEY: &str = "0123456789abcdef";
+
+/// One process, stopped when dropped.
+pub(crate) struct Instance {
+    pub(crate) name: String,
+    pub(crate) addr: SocketAddr,
+    pub(crate) child: Child,
+}
+
+/// What an instance is started with.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Start<'a> {
+    pub(crate) name: &'a str,
+    pub(crate) failure_domain: &'a str,
+    pub(crate) key: &'a str,
+    pub(crate) keep: &'a str,
+    pub(crate) seeds: &'a str,
+}
+
+impl Default for Start<'_> {
+    fn default() -> Self {
+        Self {
+            name: "one",
+            failure_domain: guild::FAILURE_DOMAINS[0],
+            key: KEY,
+            keep: "300ms",
+            seeds: "",
+        }
+    }
+}
+
+impl Start<'_> {
+    /// Starts it on a free port; on another one when a process took that port first.
+    pub(crate) async fn run(self, platform: SocketAddr) -> Instance {
+        loop {
+            let mut instance = self.run_at(free_addr().await, platform);
+            if instance.listens().await {
+                return instance;
+            }
+        }
+    }
+
+    pub(crate) fn run_at(self, addr: SocketAddr, platform: SocketAddr) -> Instance {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"));
+        command
+            .args(["serve", "--region", "central", "--heartbeat", "100ms"])
+            .args(["--name", self.name])
+            .args(["--failure-domain", self.failure_domain])
+            .args(["--listen", &addr.to_string()])
+            .args(["--platform", &platform.to_string()])
+            .args(["--address-keep", self.keep])
+            .env("HYSSOPWALK_PEER_KEYS", self.key)
+            .stderr(Stdio::null());
+        if !self.seeds.is_empty() {
+            command.args(["--seeds", self.seeds]);
+        }
+        Instance {
+            name: self.name.to_owned(),
+            addr,
+            child: command.spawn().expect("the binary starts"),
+        }
+    }
+}
+
+impl Instance {
+    /// Waits until it listens; false when it ended instead.
+    pub(crate) async fn listens(&mut self) -> bool {
+        while TcpStream::connect(self.addr).await.is_err() {
+            if self.child.try_wait().expect("it was started").is_some() {
+                return false;
+            }
+            async_std::task::sleep(Duration::from_millis(5)).await;
+        }
+        true
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
+        kill_process(pid.expect("a process id"), signal).expect("the process is there");
+    }
+
+    /// Waits in a thread of its own, so that others go on.
+    pub(crate) async fn exited(mut self) -> ExitStatus {
+        async_std::task::spawn_blocking(move || self.child.wait().expect("it was started")).await
+    }
+
+    pub(crate) async fn members(&self) -> Option<MembersWire> {
+        get(self.addr, "/v1/members").await.ok()
+    }
+
+    pub(crate) async fn ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.addr);
+        let sent = send(Request::get(url.as_str())).await;
+        sent.is_ok_and(|res| res.status() == 200)
+    }
+
+    /// The names of the live instances that it knows of, in order.
+    pub(crate) async fn live(&self) -> Vec<String> {
+        let Some(members) = self.members().await else {
+            return Vec::new();
+        };
+        let cells = members.cells.into_iter();
+        let live = cells
+            .flat_map(|cell| cell.members)
+            .filter(|member| member.state == "live");
+        let mut names: Vec<String> = live.map(|member| member.name).collect();
+        names.sort();
+        names
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+}
+
+pub(crate) async fn get<T: serde::de::DeserializeOwned>(
+    addr: SocketAddr,
+    path: &str,
+) -> std::io::Result<T> {
+    let url = format!("http://{addr}{path}");
+    let mut res = send(Request::get(url.as_str())).await?;
+    res.body_json()
+        .await
+        .map_err(|error| std::io::Error::other(error.to_string()))
+}
+
+pub(crate) const NAMES: [&str; 6] = ["a0", "a1", "b0", "b1", "c0", "c1"];
+
+/// Starts six instances, two in each failure domain, and waits until each knows all.
+pub(crate) async fn fleet(platform: &Platform) -> Vec<Instance> {
+    let mut instances = Vec::new();
+    for (at, name) in NAMES.iter().enumerate() {
+        let start = Start {
+            name,
+            failure_domain: guild::FAILURE_DOMAINS[at / 2],
+            ..Start::default()
+        };
+        instances.push(start.run(platform.addr).await);
+    }
+    all_know(&instances, &NAMES).await;
+    instances
+}
+
+pub(crate) async fn all_know(instances: &[Instance], names: &[&str]) {
+    for instance in instances {
+        until(&format!("{} to know {names:?}", instance.name), || async {
+            instance.ready().await && instance.live().await == names
+        })
+        .await;
+    }
+}
