--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -46,18 +46,26 @@
 mod upstreams;
 mod window;
 
+#[cfg(test)]
+mod addresses_tests;
 #[cfg(test)]
 mod admission_tests;
 #[cfg(test)]
 mod audit_tests;
 #[cfg(test)]
+mod lease_tests;
+#[cfg(test)]
 mod limits_tests;
 #[cfg(test)]
+mod members_tests;
+#[cfg(test)]
 mod process_tests;
 #[cfg(test)]
 mod sharing_tests;
 #[cfg(test)]
 mod sharing_ways;
+#[cfg(test)]
+mod shutdown_tests;
 
 pub use admission::{Admission, Entrant, QueryEnd, Ticket};
 pub use budget::{Budgets, Extra};
--- /dev/null
+++ b/src/process/shutdown_tests.rs
@@ -0,0 +1,68 @@
+//! A planned stop goes through its phases in order, whatever requests do.
+
+use rstest::rstest;
+
+use super::shutdown::{Lost, Shutdown, Step, StopTimes};
+use crate::types::{Span, Timestamp};
+
+const TIMES: StopTimes = StopTimes {
+    leave: Span::from_secs(15),
+    least_drain: Span::from_secs(1),
+    most_drain: Span::from_secs(10),
+};
+
+/// What happens at a second.
+#[derive(Clone, Copy, Debug)]
+enum Happens {
+    Begin,
+    End,
+    Signal,
+    Time,
+}
+
+use Happens::{Begin, End, Signal, Time};
+
+struct Case {
+    events: &'static [(u64, Happens)],
+    steps: &'static [(u64, Step)],
+}
+
+#[rstest]
+#[case::nothing_before_a_signal(Case { events: &[(0, Begin), (100, Time)], steps: &[] })]
+#[case::idle(Case {
+    events: &[(0, Signal), (14, Time), (15, Time), (15, Time), (16, Time), (17, Time)],
+    steps: &[(0, Step::Leave), (15, Step::StopAccepting), (16, Step::HandOn(Lost(0)))],
+})]
+#[case::a_request_that_began_while_leaving_is_finished(Case {
+    events: &[(0, Signal), (14, Begin), (15, Time), (18, Time), (19, End), (19, Time)],
+    steps: &[(0, Step::Leave), (15, Step::StopAccepting), (19, Step::HandOn(Lost(0)))],
+})]
+#[case::a_request_that_does_not_end_is_cut_off_in_the_end(Case {
+    events: &[(0, Begin), (0, Signal), (15, Time), (24, Time), (25, Time)],
+    steps: &[(0, Step::Leave), (15, Step::StopAccepting), (25, Step::HandOn(Lost(1)))],
+})]
+#[case::a_second_signal_says_what_is_lost(Case {
+    events: &[(0, Begin), (0, Begin), (0, Signal), (1, End), (2, Signal), (30, Time)],
+    steps: &[(0, Step::Leave), (2, Step::Abandon(Lost(1)))],
+})]
+fn a_planned_stop_goes_in_order(#[case] case: Case) {
+    let mut shutdown = Shutdown::new(TIMES);
+    let mut steps = Vec::new();
+    for (secs, happens) in case.events {
+        let now = Timestamp(0) + Span::from_secs(*secs);
+        let step = match happens {
+            Begin => {
+                shutdown.begin_request();
+                None
+            }
+            End => {
+                shutdown.end_request();
+                None
+            }
+            Signal => Some(shutdown.on_signal(now)),
+            Time => shutdown.on_time(now),
+        };
+        steps.extend(step.map(|step| (*secs, step)));
+    }
+    assert_eq!(steps, case.steps);
+}
