Read the audit trail beside the classes and test its pages

Cause: paging over the last changes and the segments was reached by a test over HTTP with ten rows only. It is a part of Config now and runs over the fake. Result: 400 changes in pages of 50, one by one, by class and at the edges of a segment are each shown once, newest first; a damaged segment ends the trail. No fault was found.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -35,6 +35,8 @@
 mod heartbeat_tests;
 #[cfg(test)]
 mod links_tests;
+#[cfg(test)]
+mod operator_tests;
 
 pub(crate) use auth::sign as sign_token;
 pub(crate) use front::accept;
--- a/src/connection/operator_api.rs
+++ b/src/connection/operator_api.rs
@@ -100,7 +100,12 @@
             before: params.before.map(ChangeNumber),
             limit: params.limit.unwrap_or(MOST_ROWS).min(MOST_ROWS),
         };
-        let trail = req.state().trail(&query).await.map_err(platform_down)?;
+        let trail = req
+            .state()
+            .config
+            .trail(&query)
+            .await
+            .map_err(platform_down)?;
         Ok(AuditWire::from(&trail))
     };
     answer(read.await)
--- a/src/process/config/mod.rs
+++ b/src/process/config/mod.rs
@@ -4,11 +4,15 @@
 
 mod judge;
 mod targets;
+mod trail;
 
 #[cfg(test)]
 mod config_tests;
+#[cfg(test)]
+mod trail_tests;
 
 pub(crate) use judge::{Proposal, Seen, Wish};
+pub(crate) use trail::{Trail, TrailQuery};
 
 use std::sync::Arc;
 
--- /dev/null
+++ b/src/process/config/trail_tests.rs
@@ -0,0 +1,107 @@
+//! Whatever the size of the pages, reading the trail shows each change once, newest
+//! first.
+
+use std::sync::Arc;
+
+use async_std::task::block_on;
+use rstest::rstest;
+
+use super::{Config, Patience, Proposal, Seen, TrailQuery, Wish};
+use crate::process::platform::fake::FakePlatform;
+use crate::process::{Backoff, Clock};
+use crate::types::{ChangeId, Ratio, Span, UnixSeconds};
+use crate::version::{Class, Targets};
+
+const PATIENCE: Patience = Patience {
+    settle_within: Span::from_secs(60),
+    pauses: Backoff::new(Span(100), Span(1_000)),
+};
+
+/// A configuration with this many changes, of class `a` and `b` in turn.
+fn config(changes: u64) -> (Arc<FakePlatform>, Config) {
+    let platform = Arc::<FakePlatform>::default();
+    let config = Config::with_patience(platform.clone(), Clock::new(), PATIENCE);
+    let mut seen = [Seen::Absent; 2];
+    for number in 1..=changes {
+        let which = usize::from(number.is_multiple_of(2));
+        let class = Class {
+            name: ["a", "b"][which].parse().unwrap(),
+            index: "finder".parse().unwrap(),
+            targets: Targets {
+                latency: Span::from_millis(100),
+                coverage: Ratio::ONE,
+                extra_load: Ratio::ZERO,
+                repeatable: true,
+            },
+        };
+        let proposal = Proposal {
+            id: ChangeId(u128::from(number)),
+            at: UnixSeconds(number),
+            who: "ana".parse().unwrap(),
+            wish: Wish::Set(Arc::new(class)),
+            seen: seen[which],
+        };
+        let accepted = block_on(config.apply(&proposal)).unwrap();
+        seen[which] = Seen::SetBy(accepted.change.number);
+    }
+    (platform, config)
+}
+
+/// All numbers, page after page.
+fn read(config: &Config, class: Option<&str>, limit: usize) -> Vec<u64> {
+    let mut query = TrailQuery {
+        class: class.map(|class| class.parse().unwrap()),
+        before: None,
+        limit,
+    };
+    let mut numbers = Vec::new();
+    for _ in 0..10_000 {
+        let trail = block_on(config.trail(&query)).unwrap();
+        assert!(trail.accepted.len() <= limit);
+        numbers.extend(trail.accepted.iter().map(|change| change.number.0));
+        if trail.next.is_none() {
+            return numbers;
+        }
+        assert_ne!(trail.next, query.before, "a page that leads nowhere");
+        query.before = trail.next;
+    }
+    panic!("the pages do not end");
+}
+
+struct Pages {
+    changes: u64,
+    class: Option<&'static str>,
+    limit: usize,
+}
+
+#[rstest]
+#[case::nothing(Pages { changes: 0, class: None, limit: 10 })]
+#[case::one(Pages { changes: 1, class: None, limit: 10 })]
+#[case::all_at_once(Pages { changes: 12, class: None, limit: 1_000 })]
+#[case::exactly_a_page(Pages { changes: 10, class: None, limit: 10 })]
+#[case::one_by_one(Pages { changes: 40, class: None, limit: 1 })]
+#[case::across_segments(Pages { changes: 400, class: None, limit: 50 })]
+#[case::a_segments_last(Pages { changes: 127, class: None, limit: 7 })]
+#[case::a_segments_first(Pages { changes: 128, class: None, limit: 128 })]
+#[case::one_class(Pages { changes: 300, class: Some("b"), limit: 11 })]
+#[case::no_such_class(Pages { changes: 300, class: Some("c"), limit: 11 })]
+fn pages_show_each_change_once(#[case] case: Pages) {
+    let (_platform, config) = config(case.changes);
+    let wanted: Vec<u64> = (1..=case.changes)
+        .rev()
+        .filter(|number| match case.class {
+            None => true,
+            Some("b") => number.is_multiple_of(2),
+            Some(_) => false,
+        })
+        .collect();
+    assert_eq!(read(&config, case.class, case.limit), wanted);
+}
+
+#[test]
+fn a_segment_that_is_lost_ends_the_trail_and_no_page_leads_nowhere() {
+    let (platform, config) = config(400);
+    platform.set("audit/changes/001", &serde_json::json!("damaged"));
+    let numbers = read(&config, None, 50);
+    assert_eq!(numbers, (256..=400).rev().collect::<Vec<_>>());
+}
