--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -10,14 +10,10 @@
     CallRates, Expected, HttpPlatform, ObjectKey, PerSecond, Platform, PlatformError,
 };
 use serde_json::json;
+use standin::contract::FREELY;
 use standin::listen;
 use standin::platform::Platform as StandIn;
 
-const FREELY: CallRates = CallRates {
-    reads: PerSecond(1e6),
-    writes: PerSecond(1e6),
-};
-
 fn key() -> ObjectKey {
     ObjectKey::new("a")
 }
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -5,6 +5,7 @@
     reason = "each test and example uses a part of the stand-ins"
 )]
 
+pub(crate) mod contract;
 pub(crate) mod guild;
 pub(crate) mod instance;
 mod leg;
