--- a/src/cmd/load/caller.rs
+++ b/src/cmd/load/caller.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use anyhow::Result;
 use async_std::channel::{Receiver, Sender};
@@ -104,7 +104,9 @@
         let mut req = Request::post(Url::parse(&url)?);
         req.insert_header("hw-caller", format!("load-{}", self.number));
         if self.args.orders {
-            let key = format!("load-{}-{}-{}", self.args.seed, self.number, self.sent);
+            let first_sent = SystemTime::now().duration_since(UNIX_EPOCH)?.as_secs();
+            let (seed, number, sent) = (self.args.seed, self.number, self.sent);
+            let key = format!("{first_sent}:load-{seed}-{number}-{sent}");
             req.insert_header("idempotency-key", key);
         }
         req.set_body(self.args.body.as_bytes());
