--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -6,32 +6,9 @@
 
 use siphasher::sip::SipHasher13;
 
+use super::number::number;
 use super::{ClassName, ParseError};
 
-macro_rules! number {
-    ($(#[$doc:meta])* $name:ident, $inner:ty, $what:literal) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
-        pub struct $name(pub $inner);
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                self.0.fmt(f)
-            }
-        }
-
-        impl FromStr for $name {
-            type Err = ParseError;
-
-            fn from_str(text: &str) -> Result<Self, ParseError> {
-                text.parse()
-                    .map(Self)
-                    .map_err(|_| ParseError::new($what, text, "it is not a whole number in range"))
-            }
-        }
-    };
-}
-
 number! {
     /// A shard within one snapshot.
     ShardId, u32, "a shard id"
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -7,6 +7,7 @@
 mod id;
 mod key;
 mod name;
+mod number;
 mod rate;
 mod secret;
 mod size;
