Let hedges keep up with queries to 1,700 replicas

Three causes, one after the other: - a store of tokens held 100, so of two queries that begin together the second earned nothing, and a query's stragglers found none; - hedges at the percentile of the whole target left no tokens for later ones; - a hedge that found no room looked again after half of its leg's age, which near the deadline is after it.

Change: a store holds what eight queries earn; quiet hedges use six tenths of the target; a hedge without room looks again when room is expected.

--- a/src/process/budget.rs
+++ b/src/process/budget.rs
@@ -9,9 +9,10 @@
 use crate::types::ClassName;
 use crate::version::Class;
 
-const MOST_LEGS: f64 = 2_000.0;
-const START_LEGS: f64 = 800.0;
-const RESERVE_LEGS: f64 = 400.0;
+const LEAST_BOUND_LEGS: f64 = 2_000.0;
+const BOUND_QUERIES: f64 = 8.0;
+const START_PART: f64 = 0.4;
+const RESERVE_PART: f64 = 0.2;
 const MOVES_PART: f64 = 0.1;
 
 /// What a leg beyond a shard's first is sent for.
@@ -35,21 +36,37 @@
 struct Tokens {
     repeats: f64,
     moves: f64,
+    /// The tokens that so many legs earn are kept at most.
+    bound_legs: f64,
 }
 
 impl Budgets {
+    /// Notes to how many shards a query of the class goes, so that what one query earns
+    /// can be kept until it is needed.
+    pub fn widen(&mut self, class: &Class, shards: usize) {
+        #[expect(clippy::cast_precision_loss, reason = "shards are few thousands")]
+        let bound_legs = (shards as f64 * BOUND_QUERIES).max(LEAST_BOUND_LEGS);
+        let known = self.by_class.get(&class.name);
+        if known.is_some_and(|tokens| tokens.bound_legs >= bound_legs) {
+            return;
+        }
+        let tokens = Tokens::at_start(class, bound_legs);
+        self.by_class.insert(class.name.clone(), tokens);
+    }
+
     /// Notes that a shard's first leg was sent.
     pub fn earn(&mut self, class: &Class) {
         let part = class.targets.extra_load.as_f64();
         let tokens = self.of(class);
-        tokens.repeats = (tokens.repeats + part).min(part * MOST_LEGS);
-        tokens.moves = (tokens.moves + MOVES_PART).min(MOVES_PART * MOST_LEGS);
+        tokens.repeats = (tokens.repeats + part).min(part * tokens.bound_legs);
+        tokens.moves = (tokens.moves + MOVES_PART).min(MOVES_PART * tokens.bound_legs);
     }
 
     /// Takes a token for one leg beyond the first, if there is one.
     pub fn take(&mut self, class: &Class, extra: Extra) -> bool {
-        let reserve = class.targets.extra_load.as_f64() * RESERVE_LEGS;
+        let part = class.targets.extra_load.as_f64();
         let tokens = self.of(class);
+        let reserve = part * tokens.bound_legs * RESERVE_PART;
         match extra {
             Extra::Hedge => spend(&mut tokens.repeats, reserve),
             Extra::Retry => spend(&mut tokens.repeats, 0.0),
@@ -59,7 +76,7 @@
 
     fn of(&mut self, class: &Class) -> &mut Tokens {
         if !self.by_class.contains_key(&class.name) {
-            let tokens = Tokens::at_start(class);
+            let tokens = Tokens::at_start(class, LEAST_BOUND_LEGS);
             self.by_class.insert(class.name.clone(), tokens);
         }
         &mut self.by_class[&class.name]
@@ -67,10 +84,12 @@
 }
 
 impl Tokens {
-    fn at_start(class: &Class) -> Self {
+    fn at_start(class: &Class, bound_legs: f64) -> Self {
+        let start_legs = bound_legs * START_PART;
         Self {
-            repeats: class.targets.extra_load.as_f64() * START_LEGS,
-            moves: MOVES_PART * START_LEGS,
+            repeats: class.targets.extra_load.as_f64() * start_legs,
+            moves: MOVES_PART * start_legs,
+            bound_legs,
         }
     }
 }
--- a/src/process/budget_tests.rs
+++ b/src/process/budget_tests.rs
@@ -2,7 +2,10 @@
 
 use rstest::rstest;
 
-use super::{Budgets, Extra, MOVES_PART, RESERVE_LEGS, START_LEGS};
+use super::{Budgets, Extra, LEAST_BOUND_LEGS, MOVES_PART, RESERVE_PART, START_PART};
+
+const START_LEGS: f64 = LEAST_BOUND_LEGS * START_PART;
+const RESERVE_LEGS: f64 = LEAST_BOUND_LEGS * RESERVE_PART;
 use crate::types::{Ratio, Span};
 use crate::version::{Class, Targets};
 
@@ -61,3 +64,17 @@
     while budgets.take(&class, Extra::Hedge) {}
     assert!(budgets.take(&class, Extra::Retry));
 }
+
+#[test]
+fn what_a_wide_query_earns_is_kept_for_its_own_stragglers() {
+    const SHARDS: u32 = 1_700;
+    let class = class("5%");
+    let mut budgets = Budgets::default();
+    budgets.widen(&class, SHARDS as usize);
+    while budgets.take(&class, Extra::Retry) {}
+    for _ in 0..2 * SHARDS {
+        budgets.earn(&class);
+    }
+    let taken = (0..SHARDS).filter(|_| budgets.take(&class, Extra::Retry));
+    assert!((169..=171).contains(&taken.count()));
+}
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -8,6 +8,7 @@
 use crate::types::Span;
 
 const LOOK_AGAIN: Span = Span::from_millis(2);
+const LOOKS_IN_AGE: u64 = 4;
 const LEAST_REPLIED_PART: usize = 2;
 
 impl Query {
@@ -59,8 +60,9 @@
             Choice::Replica(replica_at) if cx.budgets.take(&self.class, Extra::Hedge) => {
                 self.send(cx, shard_at, replica_at, Some(Extra::Hedge), actions);
             }
+            Choice::RoomAt(at) if at > cx.now => self.wake_shard_at(shard_at, at),
             Choice::Replica(_) | Choice::RoomAt(_) => {
-                let pause = Span(age.0 / 2).max(LOOK_AGAIN);
+                let pause = Span(age.0 / LOOKS_IN_AGE).max(LOOK_AGAIN);
                 self.wake_shard_at(shard_at, cx.now + pause);
             }
             Choice::Nobody { .. } => {}
--- a/src/request/extra_tests.rs
+++ b/src/request/extra_tests.rs
@@ -138,6 +138,25 @@
     assert_eq!(bench.sent.len(), 1);
 }
 
+#[test]
+fn a_hedge_that_found_no_room_is_sent_as_soon_as_there_is_some() {
+    let mut bench = warm(Setup {
+        shards: 1,
+        slots: 1,
+        ..Setup::default()
+    });
+    bench.next_query();
+    let replicas = bench.query.snapshot.shards[0].replicas.clone();
+    let first = bench.sent[0].upstream.name.clone();
+    let other = replicas.iter().find(|spec| spec.name != first).unwrap();
+    bench.limits.take(bench.now, other);
+    bench.run_until(bench.now + Span::from_millis(50));
+    assert_eq!(bench.sent.len(), 1);
+    bench.limits.give(bench.now, &other.name, USUAL);
+    bench.run_until(bench.now + USUAL);
+    assert_eq!(bench.sent.len(), 2);
+}
+
 #[test]
 fn a_leg_that_waits_for_room_holds_no_budget() {
     let setup = Setup {
--- a/src/request/hedge.rs
+++ b/src/request/hedge.rs
@@ -11,6 +11,8 @@
 const LEAST_PART: f64 = 0.5;
 const MOST_PART: f64 = 0.99;
 const TYPICAL: f64 = 0.5;
+/// The part of the extra load that hedges use while nothing is wrong.
+const HEDGED_PART: f64 = 0.6;
 const LIKELY: f64 = 0.9;
 
 /// How long a leg waits before another replica is asked as well: until it is slower
@@ -21,7 +23,8 @@
     extra_load: Ratio,
     left: Span,
 ) -> Option<Span> {
-    let part = (1.0 - extra_load.as_f64()).clamp(LEAST_PART, MOST_PART);
+    let hedged = extra_load.as_f64() * HEDGED_PART;
+    let part = (1.0 - hedged).clamp(LEAST_PART, MOST_PART);
     let quantile = |part| latency.and_then(|latency| latency.legs.quantile(part));
     let slow = quantile(part).unwrap_or(FIRST_WAIT).max(LEAST_WAIT);
     let likely = quantile(LIKELY).unwrap_or(FIRST_NEED);
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -153,6 +153,7 @@
             self.crashes.on_known_suspect();
         }
         self.prefer_held_snapshot(cx);
+        cx.budgets.widen(&self.class, self.shards.len());
         self.send_first_legs(cx, &mut actions);
         self.settle(cx, &mut actions);
         actions
