--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -32,11 +32,14 @@
 #[cfg(test)]
 mod caller_tests;
 #[cfg(test)]
+mod cost_tests;
+#[cfg(test)]
 mod heartbeat_tests;
 #[cfg(test)]
 mod links_tests;
 #[cfg(test)]
 mod operator_tests;
+mod peer_tests;
 
 pub(crate) use auth::sign as sign_token;
 pub(crate) use front::accept;
--- /dev/null
+++ b/src/connection/peer_tests.rs
@@ -0,0 +1,264 @@
+//! What a peer may send: every message comes back as it was, and no bytes of any kind
+//! do more than end in an error.
+
+use std::net::SocketAddr;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::peer_auth::{self, Side, Transcript};
+use super::peer_wire::{
+    self, AskWire, ChallengeWire, HelloWire, MOST_HELLO_BYTES, MOST_MESSAGE_BYTES, PROTOCOL,
+    PeerWireError, ProofWire, ToldWire,
+};
+use crate::process::{
+    Ask, CellDelta, CellId, CellVersion, Heartbeat, HeartbeatReply, Member, MemberState, Met,
+    Object, ObjectKey, Told,
+};
+use crate::types::{
+    CellSeq, ConfigVersion, Epoch, Fingerprint, Incarnation, ObjectVersion, PeerKey, Position, Span,
+};
+
+fn name() -> impl Strategy<Value = String> {
+    "[a-z0-9._:-]{1,20}"
+}
+
+prop_compose! {
+    fn member()(
+        names in [name(), name(), name()],
+        incarnation: u64,
+        ips: (u32, u32),
+        ports: (u16, u16),
+        state in prop_oneof![
+            Just(MemberState::Joining),
+            Just(MemberState::Live),
+            Just(MemberState::Leaving),
+            Just(MemberState::Gone)
+        ],
+    ) -> Member {
+        Member {
+            name: names[0].parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            addr: SocketAddr::from((ips.0.to_be_bytes(), ports.0)),
+            peer_addr: SocketAddr::from((ips.1.to_be_bytes(), ports.1)),
+            failure_domain: names[1].parse().unwrap(),
+            region: names[2].parse().unwrap(),
+            state,
+        }
+    }
+}
+
+prop_compose! {
+    fn cell()(name in name(), number: u32) -> CellId {
+        CellId { failure_domain: name.parse().unwrap(), number }
+    }
+}
+
+prop_compose! {
+    fn met()(member in member(), config: u64, age: u64) -> Met {
+        Met { member, config: ConfigVersion(config), age: Span(age) }
+    }
+}
+
+prop_compose! {
+    fn heartbeat()(
+        from in member(),
+        cell in prop::option::of(cell()),
+        numbers: [u64; 4],
+        met in vec(met(), 0..4),
+        poison: Vec<u64>,
+    ) -> Ask {
+        Ask::Heartbeat(Box::new(Heartbeat {
+            from,
+            cell,
+            config: ConfigVersion(numbers[0]),
+            seen: Position(numbers[1]),
+            seen_of: Incarnation(numbers[2]),
+            digest: numbers[3],
+            met,
+            poison: poison.into_iter().map(Fingerprint).collect(),
+        }))
+    }
+}
+
+prop_compose! {
+    fn delta()(
+        cell in cell(),
+        version: (u64, u64),
+        whole: bool,
+        changed in vec(member(), 0..4),
+        removed in vec(name(), 0..4),
+    ) -> CellDelta {
+        CellDelta {
+            cell,
+            version: CellVersion { epoch: Epoch(version.0), seq: CellSeq(version.1) },
+            whole,
+            changed,
+            removed: removed.iter().map(|name| name.parse().unwrap()).collect(),
+        }
+    }
+}
+
+prop_compose! {
+    fn reply()(
+        from in member(),
+        leading in prop::option::of((cell(), any::<u64>())),
+        flags: (bool, bool),
+        numbers: (u64, u64),
+        objects in vec((name(), any::<u64>()), 0..4),
+        cells in vec(delta(), 0..4),
+        met in vec(met(), 0..4),
+        poison: Vec<u64>,
+    ) -> Told {
+        let objects = objects.into_iter();
+        Told::Heartbeat(Box::new(HeartbeatReply {
+            from,
+            leading: leading.map(|(cell, epoch)| (cell, Epoch(epoch))),
+            fresh: flags.0,
+            said_config: ConfigVersion(numbers.0),
+            up_to: Position(numbers.1),
+            more: flags.1,
+            objects: objects
+                .map(|(key, version)| (ObjectKey::new(key), ObjectVersion(version)))
+                .collect(),
+            cells,
+            met,
+            poison: poison.into_iter().map(Fingerprint).collect(),
+        }))
+    }
+}
+
+fn object() -> impl Strategy<Value = Object> {
+    (name(), any::<u64>(), any::<Vec<u8>>()).prop_map(|(key, version, value)| Object {
+        key: ObjectKey::new(key),
+        version: ObjectVersion(version),
+        value,
+    })
+}
+
+fn ask() -> impl Strategy<Value = Ask> {
+    let fetch = vec(name(), 0..8);
+    let fetch = fetch.prop_map(|keys| Ask::Fetch(keys.into_iter().map(ObjectKey::new).collect()));
+    prop_oneof![heartbeat(), fetch]
+}
+
+fn told() -> impl Strategy<Value = Told> {
+    let objects = vec(object(), 0..4);
+    let objects =
+        objects.prop_map(|objects| Told::Objects(objects.into_iter().map(Into::into).collect()));
+    prop_oneof![reply(), objects]
+}
+
+fn read_ask(bytes: &[u8]) -> Result<Ask, PeerWireError> {
+    peer_wire::decode::<AskWire, MOST_MESSAGE_BYTES>(bytes)?.try_into()
+}
+
+fn read_told(bytes: &[u8]) -> Result<Told, PeerWireError> {
+    peer_wire::decode::<ToldWire, MOST_MESSAGE_BYTES>(bytes)?.try_into()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(128))]
+
+    #[test]
+    fn messages_come_back_as_they_were(ask in ask(), told in told()) {
+        let bytes = peer_wire::encode(&AskWire::from(&ask)).unwrap();
+        prop_assert_eq!(read_ask(&bytes).unwrap(), ask);
+        let bytes = peer_wire::encode(&ToldWire::from(&told)).unwrap();
+        prop_assert_eq!(read_told(&bytes).unwrap(), told);
+    }
+
+    #[test]
+    fn a_cut_or_longer_message_is_refused(ask in ask(), told in told(), cut: prop::sample::Index) {
+        let mut bytes = peer_wire::encode(&AskWire::from(&ask)).unwrap();
+        prop_assert!(read_ask(&bytes[..cut.index(bytes.len())]).is_err());
+        bytes.push(0);
+        prop_assert!(matches!(read_ask(&bytes), Err(PeerWireError::Trailing(1))));
+        let bytes = peer_wire::encode(&ToldWire::from(&told)).unwrap();
+        prop_assert!(read_told(&bytes[..cut.index(bytes.len())]).is_err());
+    }
+
+    #[test]
+    fn a_changed_message_never_panics(told in told(), at: prop::sample::Index, to: u8) {
+        let mut bytes = peer_wire::encode(&ToldWire::from(&told)).unwrap();
+        let at = at.index(bytes.len());
+        bytes[at] = to;
+        read_told(&bytes).ok();
+    }
+
+    #[test]
+    fn random_bytes_never_panic(bytes: Vec<u8>) {
+        read_ask(&bytes).ok();
+        read_told(&bytes).ok();
+        peer_wire::version(&bytes).ok();
+        peer_wire::decode::<HelloWire, MOST_HELLO_BYTES>(&bytes).ok();
+        peer_wire::decode::<ChallengeWire, MOST_HELLO_BYTES>(&bytes).ok();
+        peer_wire::decode::<ProofWire, MOST_HELLO_BYTES>(&bytes).ok();
+    }
+
+    #[test]
+    fn a_hello_of_another_version_is_named(version: u16, nonce: [u8; 32], name in name()) {
+        prop_assume!(version != PROTOCOL);
+        let bytes = peer_wire::encode(&HelloWire { version, name, nonce }).unwrap();
+        let read = peer_wire::version(&bytes);
+        prop_assert!(matches!(read, Err(PeerWireError::Version(found)) if found == version));
+    }
+
+    #[test]
+    fn a_length_beyond_the_limit_is_refused_before_it_is_allocated(len in (1u64 << 22)..) {
+        let mut bytes = vec![1, 0, 0, 0];
+        bytes.extend(len.to_le_bytes());
+        prop_assert!(read_ask(&bytes).is_err());
+        prop_assert!(read_told(&bytes).is_err());
+    }
+}
+
+/// The keys of both sides, and whether they come to terms.
+struct Keys {
+    client: &'static [&'static str],
+    server: &'static [&'static str],
+    agree: bool,
+}
+
+const OLD: &str = "an-old-key-of-some-length";
+const NEW: &str = "a-new-key-of-some-length";
+
+#[rstest]
+#[case::same(Keys { client: &[OLD], server: &[OLD], agree: true })]
+#[case::different(Keys { client: &[OLD], server: &[NEW], agree: false })]
+#[case::server_has_both(Keys { client: &[OLD], server: &[NEW, OLD], agree: true })]
+#[case::client_has_both(Keys { client: &[OLD, NEW], server: &[NEW], agree: true })]
+#[case::client_has_none(Keys { client: &[], server: &[NEW], agree: false })]
+#[case::server_has_none(Keys { client: &[NEW], server: &[], agree: false })]
+fn instances_agree_when_they_share_a_key(#[case] case: Keys) {
+    let keys = |texts: &[&str]| -> Vec<PeerKey> {
+        texts.iter().map(|text| text.parse().unwrap()).collect()
+    };
+    let (client, server) = (keys(case.client), keys(case.server));
+    let transcript = Transcript {
+        name: "one".to_owned(),
+        client: peer_auth::nonce(),
+        server: peer_auth::nonce(),
+    };
+    let prove = |key| peer_auth::prove(key, Side::Server, &transcript);
+    let shared = server.iter().find_map(|key| {
+        let proof = prove(key);
+        peer_auth::key_of(&client, Side::Server, &transcript, &proof)
+    });
+    assert_eq!(shared.is_some(), case.agree);
+    let Some(shared) = shared else {
+        return;
+    };
+    let proof = peer_auth::prove(shared, Side::Client, &transcript);
+    let accepts = |side, transcript: &Transcript| {
+        peer_auth::key_of(&server, side, transcript, &proof).is_some()
+    };
+    assert!(accepts(Side::Client, &transcript));
+    assert!(!accepts(Side::Server, &transcript), "sent back");
+    let again = Transcript {
+        server: peer_auth::nonce(),
+        ..transcript.clone()
+    };
+    assert!(!accepts(Side::Client, &again), "replayed");
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -80,6 +80,8 @@
 
 pub(crate) use addresses::{Near, choose as choose_addresses};
 pub(crate) use audit_rows::RefusedChange;
+#[cfg(test)]
+pub(crate) use cells::MemberState;
 pub(crate) use cells::{CellId, CellVersion, Member, Summary};
 pub(crate) use clock::Clock;
 pub(crate) use config::{Accepted, Config, Proposal, Seen, Trail, TrailQuery, Wish};
@@ -87,6 +89,8 @@
 pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
+#[cfg(test)]
+pub(crate) use members::{Members, Timing};
 pub(crate) use members::{Readiness, Role};
 pub(crate) use metrics::Metrics;
 pub(crate) use platform::Backoff;
