Count instances by cell sizes

Cause: each heartbeat built a set of all names to count an instance in two cells once, 7.5 ms in a debug build at 7,936 instances. The sizes of the cells are added up, and only instances that are heard but not listed are looked up: 8.8 us in the same build. An instance that moved counts twice until its old leader drops it, which errs towards smaller shares.

--- a/src/process/cell_table.rs
+++ b/src/process/cell_table.rs
@@ -42,6 +42,25 @@
         members.map(|(member, _)| member)
     }
 
+    /// How many instances all cells have.
+    pub(crate) fn count(&self) -> usize {
+        self.cells.values().map(|cell| cell.members.len()).sum()
+    }
+
+    /// Whether an instance is in a cell, or in any when its cell is not known.
+    pub(crate) fn contains(&self, cell: Option<&CellId>, name: &InstanceName) -> bool {
+        match cell {
+            Some(cell) => self
+                .cells
+                .get(cell)
+                .is_some_and(|cell| cell.members.contains_key(name)),
+            None => self
+                .cells
+                .values()
+                .any(|cell| cell.members.contains_key(name)),
+        }
+    }
+
     /// A cell's summary.
     pub(crate) fn summary(&self, cell: &CellId) -> Option<Summary> {
         let known = self.cells.get(cell)?;
--- a/src/process/members.rs
+++ b/src/process/members.rs
@@ -411,18 +411,18 @@
             .collect()
     }
 
-    /// How many instances the limits are divided among.
+    /// How many instances the limits are divided among. One that moved to another cell
+    /// counts in both until its old leader drops it, which errs towards small shares.
     pub(crate) fn live(&mut self, now: Timestamp) -> u32 {
-        let mut names: IndexSet<&InstanceName> =
-            self.cells.members().map(|member| &member.name).collect();
         let vouched = self.role(now) != Role::Orphan;
-        let heard = self.heard.iter();
-        let counted = heard
-            .filter(|(_, heard)| heard.member.state != MemberState::Gone)
-            .filter(|(_, heard)| !vouched || now.since(heard.at) <= self.timing.dead());
-        names.extend(counted.map(|(name, _)| name));
-        names.insert(&self.me.name);
-        let known = u32::try_from(names.len()).unwrap_or(u32::MAX);
+        let heard = self.heard.values();
+        let unlisted = heard
+            .filter(|heard| heard.member.state != MemberState::Gone)
+            .filter(|heard| !vouched || now.since(heard.at) <= self.timing.dead())
+            .filter(|heard| !self.cells.contains(heard.cell.as_ref(), &heard.member.name));
+        let own = usize::from(!self.cells.contains(self.cell.as_ref(), &self.me.name));
+        let known = self.cells.count() + unlisted.count() + own;
+        let known = u32::try_from(known).unwrap_or(u32::MAX);
         self.share.count(now, known, vouched)
     }
 
