--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -121,6 +121,36 @@
     assert_eq!(desk.runs(body), 1);
 }
 
+#[rstest::rstest]
+#[case::before_the_claim(0)]
+#[case::while_it_is_written(15)]
+#[case::while_it_is_checked(30)]
+#[case::while_the_order_runs(50)]
+#[async_std::test]
+async fn an_instance_that_pauses_and_wakes_runs_no_order_twice(#[case] after_ms: u64) {
+    let desk = Desk::start().await;
+    let slow = Duration::from_millis(10);
+    desk.platform.faults(|faults| faults.slow = slow);
+    let (addr, key, body) = (desk.addr(0), order_key("paused"), "{\"job\":\"paused\"}");
+    let asked = async_std::task::spawn({
+        let key = key.clone();
+        async move { order(addr, CLASS, &key, body).await }
+    });
+    async_std::task::sleep(Duration::from_millis(after_ms)).await;
+    desk.instances[0].pause();
+    let (_, other) = order(desk.addr(1), CLASS, &key, body).await.unwrap();
+    desk.instances[0].resume();
+    let (_, woken) = asked.await.unwrap();
+    let (_, last) = order(desk.addr(1), CLASS, &key, body).await.unwrap();
+    let runs = desk.runs(body);
+    assert!(runs <= 1, "{runs} runs: {other}, {woken}, {last}");
+    let refused = [&other, &woken, &last].map(|answer| answer["ran"] == "not run");
+    assert!(
+        refused != [true; 3] || runs == 0,
+        "{other}, {woken}, {last}"
+    );
+}
+
 #[async_std::test]
 async fn an_order_refused_in_an_outage_did_not_run_and_runs_afterwards() {
     let desk = Desk::start().await;
--- a/tests/standin/instance.rs
+++ b/tests/standin/instance.rs
@@ -66,8 +66,17 @@
 
     /// Stops it from running, as a paused machine would.
     pub(crate) fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets it go on after a pause.
+    pub(crate) fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
-        kill_process(pid.expect("a process id"), Signal::STOP).expect("the process is there");
+        kill_process(pid.expect("a process id"), signal).expect("the process is there");
     }
 
     /// Ends it at once, as a crash would.
