--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -39,6 +39,7 @@
 mod links_tests;
 #[cfg(test)]
 mod operator_tests;
+#[cfg(test)]
 mod peer_tests;
 
 pub(crate) use auth::sign as sign_token;
