Set the threads for input and output by a setting

Cause: a leg took 180 us of an instance's processor time on a quiet machine and less on a busy one; the runtime wakes one of ten threads for each message. Ruled out before: clearing of read buffers.

Fewer threads cost the tail, so the default stays one for each core, and whoever pays for processor time can choose.

--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -121,6 +121,10 @@
     /// The region of that failure domain.
     #[arg(long, env = "HYSSOPWALK_REGION")]
     pub(crate) region: Region,
+    /// How many threads carry input and output: fewer cost less processor time, more cut the
+    /// tail of latency; one for each core when not given.
+    #[arg(long, env = "HYSSOPWALK_IO_THREADS", default_value_t = cores())]
+    pub(crate) io_threads: usize,
     /// How many workers decide.
     #[arg(long, env = "HYSSOPWALK_WORKERS", default_value_t = 4)]
     pub(crate) workers: usize,
@@ -388,3 +392,7 @@
         }
     }
 }
+
+fn cores() -> usize {
+    std::thread::available_parallelism().map_or(1, usize::from)
+}
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use anyhow::{Context, Result, bail};
+use async_global_executor::GlobalExecutorConfig;
 use async_signal::{Signal, Signals};
 use async_std::future::timeout;
 use async_std::net::TcpListener;
@@ -31,6 +32,7 @@
         settings.operator_keys.extend(more_keys);
         check(&settings)?;
         log_to_stderr();
+        limit_io_threads(settings.io_threads);
         async_std::task::block_on(serve(settings))
     }
 }
@@ -43,6 +45,15 @@
     bail!("could not use the settings: {}", errors.join("; "))
 }
 
+/// Sets the threads of the runtime, which takes its settings once, when it starts.
+fn limit_io_threads(threads: usize) {
+    let config = GlobalExecutorConfig::default()
+        .with_min_threads(threads)
+        .with_max_threads(threads)
+        .with_thread_name_fn(|| "io".to_owned());
+    async_global_executor::init_with_config(config);
+}
+
 fn log_to_stderr() {
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt()
@@ -157,6 +168,7 @@
             failure_domain: args.failure_domain,
             region: args.region,
             workers: args.workers,
+            io_threads: args.io_threads,
             most_body: args.most_body,
         }
     }
--- a/src/process/process_tests.rs
+++ b/src/process/process_tests.rs
@@ -40,6 +40,7 @@
         failure_domain: "suva-a".parse().unwrap(),
         region: "central".parse().unwrap(),
         workers: 4,
+        io_threads: 2,
         most_body: ByteCount(1024),
     }
 }
@@ -54,9 +55,10 @@
 #[case::two_at_once(Case {
     change: |settings| {
         settings.workers = 0;
+        settings.io_threads = 65;
         settings.most_body = ByteCount(0);
     },
-    wanted: |_| vec![SettingsError::Workers(0), SettingsError::MostBody],
+    wanted: |_| vec![SettingsError::Workers(0), SettingsError::IoThreads(65), SettingsError::MostBody],
 })]
 #[case::no_calls(Case {
     change: |settings| settings.platform_rates.writes = PerSecond(0.5),
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -6,7 +6,7 @@
 use super::shutdown::StopTimes;
 use crate::types::{ByteCount, FailureDomain, InstanceName, OperatorKey, PeerKey, Region, Span};
 
-const MOST_WORKERS: usize = 64;
+const MOST_THREADS: usize = 64;
 const LEAVING_HEARD_BEATS: u64 = 5;
 const MOST_PEER_KEYS: usize = 4;
 const MOST_OPERATOR_KEYS: usize = 4;
@@ -45,6 +45,8 @@
     pub region: Region,
     /// How many workers decide.
     pub workers: usize,
+    /// How many threads carry input and output.
+    pub io_threads: usize,
     /// The largest request body.
     pub most_body: ByteCount,
 }
@@ -54,8 +56,11 @@
 #[derive(thiserror::Error)]
 pub enum SettingsError {
     /// The number of workers is out of range.
-    #[error("--workers must be between 1 and {MOST_WORKERS}, not {0}")]
+    #[error("--workers must be between 1 and {MOST_THREADS}, not {0}")]
     Workers(usize),
+    /// The number of threads for input and output is out of range.
+    #[error("--io-threads must be between 1 and {MOST_THREADS}, not {0}")]
+    IoThreads(usize),
     /// Bodies of no size could never be sent.
     #[error("--most-body must be at least 1")]
     MostBody,
@@ -115,9 +120,12 @@
     #[must_use]
     pub fn check(&self) -> Vec<SettingsError> {
         let mut errors = Vec::new();
-        if !(1..=MOST_WORKERS).contains(&self.workers) {
+        if !(1..=MOST_THREADS).contains(&self.workers) {
             errors.push(SettingsError::Workers(self.workers));
         }
+        if !(1..=MOST_THREADS).contains(&self.io_threads) {
+            errors.push(SettingsError::IoThreads(self.io_threads));
+        }
         if self.most_body == ByteCount(0) {
             errors.push(SettingsError::MostBody);
         }
