--- a/src/request/hedge.rs
+++ b/src/request/hedge.rs
@@ -12,7 +12,7 @@
 const MOST_PART: f64 = 0.99;
 const TYPICAL: f64 = 0.5;
 /// The part of the extra load that hedges use while nothing is wrong.
-const HEDGED_PART: f64 = 0.6;
+const HEDGED_PART: f64 = 0.9;
 const LIKELY: f64 = 0.9;
 
 /// How long a leg waits before another replica is asked as well: until it is slower
