--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -12,9 +12,9 @@
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncRead, AsyncWrite};
-use parking_lot::Mutex;
 
 use super::head::Framing;
+use crate::process::{Rank, Ranked};
 use crate::types::Span;
 
 /// A body that does not come in this time is given up; endpoints give up sooner.
@@ -31,7 +31,7 @@
 #[derive(Clone)]
 pub(super) struct Exchange {
     stream: TcpStream,
-    state: Arc<Mutex<State>>,
+    state: Arc<Ranked<State>>,
 }
 
 struct State {
@@ -70,7 +70,7 @@
         };
         Self {
             stream,
-            state: Arc::new(Mutex::new(state)),
+            state: Arc::new(Ranked::new(Rank::Exchange, state)),
         }
     }
 
--- a/src/connection/watch.rs
+++ b/src/connection/watch.rs
@@ -10,21 +10,20 @@
 use futures::future::{Either, select};
 use h2::client::Connection;
 use h2::{Ping, PingPong};
-use parking_lot::Mutex;
 use tokio_util::bytes::Bytes;
 
 use super::heard::Heard;
 use super::heartbeat::{Health, Heartbeat, Step};
 use super::stream::Stream;
-use crate::process::Clock;
+use crate::process::{Clock, Rank, Ranked};
 use crate::types::{Span, Timestamp};
 
 /// What the users of a connection and its watcher share.
 #[derive(Debug)]
 pub(super) struct Watched {
     clock: Clock,
-    heartbeat: Mutex<Heartbeat>,
-    proofs: Mutex<Vec<(Patience, oneshot::Sender<()>)>>,
+    heartbeat: Ranked<Heartbeat>,
+    proofs: Ranked<Vec<(Patience, oneshot::Sender<()>)>>,
     under_way: AtomicU32,
     leaving: AtomicBool,
     ended: AtomicBool,
@@ -48,8 +47,8 @@
     pub(super) fn new(clock: Clock, round_trip: Span) -> Self {
         Self {
             clock,
-            heartbeat: Mutex::new(Heartbeat::new(clock.now(), round_trip)),
-            proofs: Mutex::default(),
+            heartbeat: Ranked::new(Rank::Heartbeat, Heartbeat::new(clock.now(), round_trip)),
+            proofs: Ranked::new(Rank::Proofs, Vec::new()),
             under_way: AtomicU32::new(0),
             leaving: AtomicBool::new(false),
             ended: AtomicBool::new(false),
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -44,6 +44,12 @@
     Links,
     /// One connection.
     Link,
+    /// What a connection's heartbeat heard.
+    Heartbeat,
+    /// Who waits for a connection's proof.
+    Proofs,
+    /// One request on a caller's connection.
+    Exchange,
     /// The connections to other instances.
     Peers,
     /// The times at which queries are to be woken.
