Watch the platform in short waits, so that silent connections are found in time

Cause: a connection that goes silent under a waiting watch was noticed after the wait and 500 ms, 10.5 s in all, where a change has to be in force within 3 s. The stand-in did not show it: a silent connection still answered what waited.

Test: a change of classes while every connection to the platform is silent. Before: not in force after 10 s. After, with waits of 1.5 s: the test takes 2.05 s in all. At 248 cells it costs 661 calls a second instead of 99, of about 2,000.

--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -18,7 +18,7 @@
 const INDEX_PREFIX: &str = "indexes/";
 /// The prefixes that hold all an instance must know before it serves.
 pub(crate) const LEARNED_FROM: [&str; 2] = [CONFIG_PREFIX, INDEX_PREFIX];
-const WATCH_WAIT: Span = Span::from_secs(10);
+const WATCH_WAIT: Span = Span::from_millis(1_500);
 const FIRST_PAUSE: Span = Span::from_millis(100);
 const LONGEST_PAUSE: Span = Span::from_secs(1);
 const PAUSE_BETWEEN_WATCHES: Span = Span::from_millis(100);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 
+use serde_json::json;
 use standin::instance::Instance;
 use standin::platform::Platform;
 use standin::upstream::Mode;
@@ -81,3 +82,21 @@
         assert_eq!(refusal["ran"], "not run");
     }
 }
+
+#[async_std::test]
+async fn a_change_is_in_force_though_connections_to_the_platform_went_silent() {
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let instance = Instance::start("one", &platform).await;
+    ready(instance.addr, "courier-board").await;
+    platform.silence_connections();
+    let class = |name: &str| {
+        json!({
+            "name": name, "index": "courier-board", "latency": "170ms", "coverage": "100%",
+            "extra_load": "5%", "repeatable": true,
+        })
+    };
+    let classes = [class("courier-board"), class("new-board")];
+    platform.set("config/classes", json!({ "classes": classes }));
+    ready(instance.addr, "new-board").await;
+}
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -126,9 +126,7 @@
     }
 
     async fn answer(&self, req: Request, number: u64) -> tide::http::Result<Response> {
-        if number < self.connections.silent_below.load(Ordering::SeqCst) {
-            std::future::pending::<()>().await;
-        }
+        self.stay_silent(number).await;
         if number < self.connections.cut_below.load(Ordering::SeqCst) {
             return Err(tide::http::Error::from_str(500, "the connection is cut"));
         }
@@ -137,9 +135,17 @@
             Ok(value) => reply(200, Body::from_json(&value)?),
             Err(error) => reply(status(&error), Body::from_string(error.to_string())),
         };
+        self.stay_silent(number).await;
         Ok(res)
     }
 
+    /// Goes no further on a connection that went silent, not even with what waits.
+    async fn stay_silent(&self, number: u64) {
+        if number < self.connections.silent_below.load(Ordering::SeqCst) {
+            std::future::pending::<()>().await;
+        }
+    }
+
     async fn handle(&self, mut req: Request) -> Result<Value, PlatformError> {
         let path = req.url().path().to_owned();
         match (req.method(), path.as_str()) {
