Let test instances take any port and say which

Cause: in a fresh clone, with a second run of the tests beside it, answers_become_whole_after_any_two_faults failed: "a first whole answer did not happen". A test asked for a free port and gave it to its process; another process took it in between, answered the check for a listener, and the instance ended.

An instance now binds port 0 if told to, states the bound address in its log and to its peers, and tests read it there.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -66,15 +66,16 @@
 async fn serve(mut settings: Settings) -> Result<ExitCode> {
     let signals =
         Signals::new([Signal::Term, Signal::Int]).context("could not listen for signals")?;
-    let listen = settings.listen;
-    let listener = bind(listen).await?;
+    let listener = bind(settings.listen).await?;
+    settings.listen = listener.local_addr()?;
     let peer_listener = bind(settings.peer_listen).await?;
     settings.peer_listen = peer_listener.local_addr()?;
     let instance = Instance::start(settings).context("could not start the instance")?;
     let peers = connection::accept_peers(Arc::clone(&instance), peer_listener);
     async_std::task::spawn(peers);
     let accepting = async_std::task::spawn(connection::accept(Arc::clone(&instance), listener));
-    tracing::info!(name = %instance.settings.name, %listen, "serving");
+    let Settings { name, listen, .. } = &instance.settings;
+    tracing::info!(%name, %listen, "serving");
     stop_when_told(&instance, signals, accepting).await
 }
 
--- a/tests/fleet_of/mod.rs
+++ b/tests/fleet_of/mod.rs
@@ -4,15 +4,14 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::Duration;
 
-use async_std::net::TcpStream;
 use hyssopwalk::MembersWire;
 use rustix::process::{Pid, Signal, kill_process};
 use tide::http::Request;
 
+use crate::standin::net::serving_addr;
 use crate::standin::platform::Platform;
-use crate::standin::{free_addr, guild, send, until};
+use crate::standin::{guild, send, until};
 
 pub(crate) const KEY: &str = "0123456789abcdef";
 
@@ -46,17 +45,14 @@
 }
 
 impl Start<'_> {
-    /// Starts it on a free port; on another one when a process took that port first.
+    /// Starts it on a free port, and waits until it serves.
     pub(crate) async fn run(self, platform: SocketAddr) -> Instance {
-        loop {
-            let mut instance = self.run_at(free_addr().await, platform);
-            if instance.listens().await {
-                return instance;
-            }
-        }
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        self.run_at(any_port, platform).await
     }
 
-    pub(crate) fn run_at(self, addr: SocketAddr, platform: SocketAddr) -> Instance {
+    /// Starts it at an address, and waits until it serves.
+    pub(crate) async fn run_at(self, addr: SocketAddr, platform: SocketAddr) -> Instance {
         let mut command = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"));
         command
             .args(["serve", "--region", "central", "--heartbeat", "100ms"])
@@ -66,30 +62,21 @@
             .args(["--platform", &platform.to_string()])
             .args(["--address-keep", self.keep])
             .env("HYSSOPWALK_PEER_KEYS", self.key)
-            .stderr(Stdio::null());
+            .stderr(Stdio::piped());
         if !self.seeds.is_empty() {
             command.args(["--seeds", self.seeds]);
         }
+        let mut child = command.spawn().expect("the binary starts");
+        let addr = serving_addr(&mut child).await.expect("the binary serves");
         Instance {
             name: self.name.to_owned(),
             addr,
-            child: command.spawn().expect("the binary starts"),
+            child,
         }
     }
 }
 
 impl Instance {
-    /// Waits until it listens; false when it ended instead.
-    pub(crate) async fn listens(&mut self) -> bool {
-        while TcpStream::connect(self.addr).await.is_err() {
-            if self.child.try_wait().expect("it was started").is_some() {
-                return false;
-            }
-            async_std::task::sleep(Duration::from_millis(5)).await;
-        }
-        true
-    }
-
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = i32::try_from(self.child.id()).ok().and_then(Pid::from_raw);
         kill_process(pid.expect("a process id"), signal).expect("the process is there");
--- a/tests/standin/instance.rs
+++ b/tests/standin/instance.rs
@@ -2,13 +2,12 @@
 
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
 
-use async_std::net::TcpStream;
 use rustix::process::{Pid, Signal, kill_process};
 
+use super::guild;
+use super::net::serving_addr;
 use super::platform::Platform;
-use super::{free_addr, guild};
 
 /// The keys that operators' tokens are signed with, the newest first.
 pub(crate) const OPERATOR_KEYS: &str =
@@ -27,43 +26,23 @@
         Self::start_with(name, platform, &[]).await
     }
 
-    /// Starts an instance with more in its environment, on another port when a process
-    /// took the free one first.
+    /// Starts an instance with more in its environment.
     pub(crate) async fn start_with(name: &str, platform: &Platform, env: &[(&str, &str)]) -> Self {
-        loop {
-            let mut instance = Self::start_at(free_addr().await, name, platform, env);
-            if instance.listens().await {
-                return instance;
-            }
-        }
-    }
-
-    fn start_at(addr: SocketAddr, name: &str, platform: &Platform, env: &[(&str, &str)]) -> Self {
         let binary = option_env!("CARGO_BIN_EXE_hyssopwalk").unwrap_or_default();
-        let child = Command::new(binary)
+        let mut child = Command::new(binary)
             .args(["serve", "--region", "central", "--name", name])
             .args(["--failure-domain", guild::FAILURE_DOMAINS[0]])
-            .args(["--listen", &addr.to_string()])
+            .args(["--listen", "127.0.0.1:0"])
             .args(["--platform", &platform.addr.to_string()])
             .env("HYSSOPWALK_OPERATOR_KEYS", OPERATOR_KEYS)
             .envs(env.iter().copied())
-            .stderr(Stdio::null())
+            .stderr(Stdio::piped())
             .spawn()
             .expect("the binary starts");
+        let addr = serving_addr(&mut child).await.expect("the binary serves");
         Self { addr, child }
     }
 
-    /// Waits until it listens; false when it ended instead.
-    async fn listens(&mut self) -> bool {
-        while TcpStream::connect(self.addr).await.is_err() {
-            if self.child.try_wait().expect("it was started").is_some() {
-                return false;
-            }
-            async_std::task::sleep(Duration::from_millis(5)).await;
-        }
-        true
-    }
-
     /// Stops it from running, as a paused machine would.
     pub(crate) fn pause(&self) {
         self.signal(Signal::STOP);
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -97,7 +97,7 @@
             failure_domain: guild::FAILURE_DOMAINS[at / 2],
             ..Start::default()
         };
-        instances.push(start.run_at(addr, platform.addr));
+        instances.push(start.run_at(addr, platform.addr).await);
         all_know(&instances, &NAMES).await;
     }
     seen.over.store(true, Ordering::Relaxed);
