Let the model end queries by the instance's own rule

The model and the capacity example each had a copy of the tables behind a Context, and the model a copy of the rule from an outcome to what admission learns. The rule is now QueryEnd::from, the tables are in tests/standin/tables.rs, and both are used.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -5,24 +5,26 @@
 
 #[path = "../tests/standin/sized.rs"]
 mod sized;
+#[path = "../tests/standin/tables.rs"]
+mod tables;
 
 use std::sync::Arc;
 use std::time::Instant;
 
 use hyssopwalk::{
-    Action, Budgets, Class, Context, Event, Index, LegReply, Limits, ObjectVersion, Query, QueryId,
-    Ratio, Snapshot, Span, Suspects, Targets, Timestamp, Upstreams,
+    Action, Class, Event, Index, LegReply, ObjectVersion, Query, QueryId, Ratio, Snapshot, Span,
+    Targets, Timestamp,
 };
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use sized::{REPLICAS_A_SHARD, index_wire};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use tables::Tables;
 
 #[global_allocator]
 static ALLOCATOR: &StatsAlloc<std::alloc::System> = &INSTRUMENTED_SYSTEM;
 
 const SHARDS: [usize; 3] = [20, 200, 1_700];
 const QUERIES: u32 = 200;
+const SEED: u64 = 1;
 const BODY: &[u8] = br#"{"cloth":"masi","stitch":"long"}"#;
 
 fn main() {
@@ -34,38 +36,6 @@
     }
 }
 
-struct Tables {
-    budgets: Budgets,
-    suspects: Suspects,
-    limits: Limits,
-    upstreams: Upstreams,
-    rng: SmallRng,
-}
-
-impl Tables {
-    fn new() -> Self {
-        Self {
-            budgets: Budgets::default(),
-            suspects: Suspects::default(),
-            limits: Limits::default(),
-            upstreams: Upstreams::default(),
-            rng: SmallRng::seed_from_u64(1),
-        }
-    }
-
-    fn context(&mut self, now: Timestamp) -> Context<'_> {
-        Context {
-            now,
-            snapshots: &[],
-            budgets: &mut self.budgets,
-            suspects: &mut self.suspects,
-            limits: &mut self.limits,
-            upstreams: &mut self.upstreams,
-            rng: &mut self.rng,
-        }
-    }
-}
-
 fn row(slope: &str, shards: usize, value: f64, unit: &str) {
     println!("| {slope} | {shards} | {value:.1} | {unit} |");
 }
@@ -93,7 +63,7 @@
         per(net(&region), replicas),
         "bytes a replica",
     );
-    let mut tables = Tables::new();
+    let mut tables = Tables::new(SEED);
     let region = Region::new(ALLOCATOR);
     for number in 0..4 {
         run(
@@ -116,7 +86,7 @@
 fn measure_decisions(shards: usize) {
     let index = Index::try_from((&index_wire(shards), ObjectVersion(1))).expect("a valid index");
     let snapshot = &index.snapshots[0];
-    let mut tables = Tables::new();
+    let mut tables = Tables::new(SEED);
     run(&mut tables, 0, snapshot, Timestamp::default());
     let region = Region::new(ALLOCATOR);
     let begun = Instant::now();
--- a/examples/model/main.rs
+++ b/examples/model/main.rs
@@ -16,6 +16,8 @@
 mod replica;
 mod report;
 mod system;
+#[path = "../../tests/standin/tables.rs"]
+mod tables;
 mod world;
 
 use policy::Policy;
--- a/examples/model/policy.rs
+++ b/examples/model/policy.rs
@@ -3,14 +3,12 @@
 use std::sync::Arc;
 
 use hyssopwalk::{
-    Action, Admission, Answer, Budgets, ByteCount, CallerName, Class, Context, Entrant, ErrorKind,
-    Event, Limits, Query, QueryEnd, QueryId, Refusal, Snapshot, Span, Suspects, Ticket, Timestamp,
-    Upstreams,
+    Action, Admission, ByteCount, CallerName, Class, Entrant, Event, Query, QueryEnd, QueryId,
+    Refusal, Snapshot, Span, Ticket, Timestamp,
 };
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 
 use super::baseline::Baseline;
+use super::tables::Tables;
 
 /// How legs are sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,11 +44,7 @@
     pub(crate) place: usize,
     caller: CallerName,
     admission: Admission,
-    budgets: Budgets,
-    suspects: Suspects,
-    limits: Limits,
-    upstreams: Upstreams,
-    rng: SmallRng,
+    tables: Tables,
 }
 
 /// A query under way in the model.
@@ -63,17 +57,13 @@
 
 impl Instance {
     pub(crate) fn new(place: usize, live: u32, seed: u64) -> Self {
-        let mut limits = Limits::default();
-        limits.set_live(Timestamp::default(), live);
+        let mut tables = Tables::new(seed);
+        tables.limits.set_live(Timestamp::default(), live);
         Self {
             place,
             caller: "modelled".parse().expect("a valid name"),
             admission: Admission::default(),
-            budgets: Budgets::default(),
-            suspects: Suspects::default(),
-            limits,
-            upstreams: Upstreams::default(),
-            rng: SmallRng::seed_from_u64(seed),
+            tables,
         }
     }
 
@@ -100,7 +90,7 @@
             return (running, actions);
         }
         let mut query = Baseline::new(id, snapshot, now, deadline, policy.hedge_after());
-        let actions = query.start(now, &mut self.rng);
+        let actions = query.start(now, &mut self.tables.rng);
         (Running::Baseline(query), actions)
     }
 
@@ -112,7 +102,7 @@
     ) -> Vec<Action> {
         match running {
             Running::Real(..) => self.step(running, now, Some(event)),
-            Running::Baseline(query) => query.on_event(now, &event, &mut self.rng),
+            Running::Baseline(query) => query.on_event(now, &event, &mut self.tables.rng),
             Running::Refused => Vec::new(),
         }
     }
@@ -131,13 +121,13 @@
         let Running::Real(query, ticket) = running else {
             return Vec::new();
         };
-        let mut cx = self.context(now);
+        let mut cx = self.tables.context(now);
         let actions = match event {
             Some(event) => query.on_event(&mut cx, event),
             None => query.start(&mut cx),
         };
         let finished = actions.iter().find_map(|action| match action {
-            Action::Finish(outcome) => Some(end_of(outcome)),
+            Action::Finish(outcome) => Some(QueryEnd::from(outcome)),
             _ => None,
         });
         if let Some((end, ticket)) = finished.zip(ticket.take_if(|_| query.is_finished())) {
@@ -145,28 +135,4 @@
         }
         actions
     }
-
-    fn context(&mut self, now: Timestamp) -> Context<'_> {
-        Context {
-            now,
-            snapshots: &[],
-            budgets: &mut self.budgets,
-            suspects: &mut self.suspects,
-            limits: &mut self.limits,
-            upstreams: &mut self.upstreams,
-            rng: &mut self.rng,
-        }
-    }
-}
-
-fn end_of(outcome: &Result<Answer, Refusal>) -> QueryEnd {
-    match outcome {
-        Ok(answer) => QueryEnd::Answered {
-            took: answer.took,
-            meets_target: answer.meets_target,
-            coverage: answer.coverage.ratio(),
-        },
-        Err(refusal) if refusal.kind == ErrorKind::OutOfTime => QueryEnd::OutOfTime,
-        Err(_) => QueryEnd::Other,
-    }
 }
--- a/src/process/admission.rs
+++ b/src/process/admission.rs
@@ -10,6 +10,7 @@
 
 use super::gate::{Gate, Place};
 use crate::error::{ErrorKind, Refusal};
+use crate::request::Answer;
 use crate::types::{ByteCount, CallerName, ClassName, IndexName, Ratio, Span, Timestamp};
 use crate::version::Class;
 
@@ -49,6 +50,20 @@
     Other,
 }
 
+impl From<&Result<Answer, Refusal>> for QueryEnd {
+    fn from(outcome: &Result<Answer, Refusal>) -> Self {
+        match outcome {
+            Ok(answer) => Self::Answered {
+                took: answer.took,
+                meets_target: answer.meets_target,
+                coverage: answer.coverage.ratio(),
+            },
+            Err(refusal) if refusal.kind == ErrorKind::OutOfTime => Self::OutOfTime,
+            Err(_) => Self::Other,
+        }
+    }
+}
+
 /// The place of an admitted query, which [`Admission::end`] takes back.
 #[derive(Debug)]
 pub struct Ticket {
--- a/src/process/admitted.rs
+++ b/src/process/admitted.rs
@@ -2,7 +2,7 @@
 
 use super::Instance;
 use super::admission::{Entrant, QueryEnd, Ticket};
-use crate::error::{ErrorKind, Refusal};
+use crate::error::Refusal;
 use crate::request::{Answer, Inquiry};
 use crate::types::ByteCount;
 
@@ -37,7 +37,7 @@
 impl Admitted<'_> {
     /// Gives the place back and says how the query ended.
     pub(super) fn close(mut self, outcome: &Result<Answer, Refusal>) {
-        self.end(end_of(outcome));
+        self.end(QueryEnd::from(outcome));
     }
 
     fn end(&mut self, end: QueryEnd) {
@@ -53,15 +53,3 @@
         self.end(QueryEnd::Other);
     }
 }
-
-fn end_of(outcome: &Result<Answer, Refusal>) -> QueryEnd {
-    match outcome {
-        Ok(answer) => QueryEnd::Answered {
-            took: answer.took,
-            meets_target: answer.meets_target,
-            coverage: answer.coverage.ratio(),
-        },
-        Err(refusal) if refusal.kind == ErrorKind::OutOfTime => QueryEnd::OutOfTime,
-        Err(_) => QueryEnd::Other,
-    }
-}
