Share tables and workers between front ends in an engine

Cause: the platform's front end needs the same decisions as the project's own, and a leg there should not change threads twice on a machine with one core. Behaviour of the project's own front end is unchanged.

--- a/src/connection/front.rs
+++ b/src/connection/front.rs
@@ -51,7 +51,7 @@
 }
 
 async fn metrics(req: tide::Request<Cx>) -> tide::Result {
-    let text = req.state().metrics.render()?;
+    let text = req.state().engine.metrics.render()?;
     Ok(tide::Response::builder(200)
         .content_type("text/plain; version=0.0.4")
         .body(text)
--- a/src/connection/links.rs
+++ b/src/connection/links.rs
@@ -5,12 +5,13 @@
 
 use async_std::channel::{Receiver, Sender, bounded};
 use async_std::future::timeout;
+use futures::future::BoxFuture;
 use indexmap::IndexMap;
 
 use super::conn::{CallError, Conn};
 use super::heartbeat::Health;
 use super::pool::Pool;
-use crate::process::{Clock, Rank, Ranked};
+use crate::process::{Carrier, Clock, Rank, Ranked};
 use crate::request::{LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, UpstreamName};
 
@@ -45,20 +46,6 @@
         }
     }
 
-    /// Sends a leg over one of at most `most` connections and waits for its reply.
-    /// Dropping the future cancels the leg.
-    pub(crate) async fn call(
-        &self,
-        leg: LegRequest,
-        most: ConnectionCount,
-    ) -> Result<LegReply, LegFailure> {
-        let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
-        let within = leg.time_left.as_duration();
-        let mut used = None;
-        let called = timeout(within, call(&pool, &leg, most, &mut used)).await;
-        called.unwrap_or_else(|_| Err(out_of_time(used.as_deref())))
-    }
-
     fn pool(&self, name: &UpstreamName, addr: SocketAddr) -> Arc<Pool> {
         let mut by_upstream = self.by_upstream.lock();
         let known = by_upstream.get(name).filter(|pool| pool.addr == addr);
@@ -73,6 +60,27 @@
     }
 }
 
+impl Carrier for Links {
+    fn call(
+        &self,
+        leg: LegRequest,
+        most: ConnectionCount,
+    ) -> BoxFuture<'_, Result<LegReply, LegFailure>> {
+        Box::pin(async move {
+            let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
+            let within = leg.time_left.as_duration();
+            let mut used = None;
+            let called = timeout(within, call(&pool, &leg, most, &mut used)).await;
+            called.unwrap_or_else(|_| Err(out_of_time(used.as_deref())))
+        })
+    }
+
+    /// A stream is reset at no cost to the connection's other streams.
+    fn cancel_costs_connection(&self) -> bool {
+        false
+    }
+}
+
 /// Calls, and once more when a connection closed in good order before it took the leg.
 async fn call(
     pool: &Arc<Pool>,
--- a/src/connection/links_tests.rs
+++ b/src/connection/links_tests.rs
@@ -12,6 +12,7 @@
 use self::standin::net::until;
 use self::standin::upstream::{Behaviour, Mode, Upstream};
 use super::Links;
+use crate::process::Carrier;
 use crate::process::Clock;
 use crate::request::{LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, LegId, QueryId, ShardId, SlotCount, SnapshotId, Span};
--- a/src/connection/operator_api.rs
+++ b/src/connection/operator_api.rs
@@ -125,7 +125,7 @@
 
 /// The classes in force here, while the platform cannot be asked.
 fn in_force(instance: &Instance) -> ClassListWire {
-    let directory = instance.tables.directory();
+    let directory = instance.engine.tables.directory();
     let classes = directory.classes.values();
     ClassListWire {
         config: directory.config.0,
@@ -191,6 +191,7 @@
 
 fn warning(instance: &Instance, class: &Class) -> Option<String> {
     let known = instance
+        .engine
         .tables
         .directory()
         .indexes
@@ -229,9 +230,9 @@
 impl From<&Instance> for StatusWire {
     fn from(instance: &Instance) -> Self {
         let now = instance.clock.now();
-        let directory = instance.tables.directory();
+        let directory = instance.engine.tables.directory();
         let readiness = instance.members.lock().readiness(now);
-        let loads = instance.tables.upstreams.lock().loads(now);
+        let loads = instance.engine.tables.upstreams.lock().loads(now);
         let settings = &instance.settings;
         let indexes = directory.indexes.values();
         let stated = indexes.clone().flat_map(|index| {
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -102,7 +102,7 @@
         Err(_) => return,
     };
     if let Err(status) = handled {
-        instance.metrics.members.refused_peer(status);
+        instance.engine.metrics.members.refused_peer(status);
         *stage.lock() = Stage::Closed;
     }
     reply(handled, &mut respond);
--- a/src/process/admitted.rs
+++ b/src/process/admitted.rs
@@ -19,14 +19,14 @@
     /// # Errors
     /// [`ErrorKind::UnknownClass`] and [`ErrorKind::Overloaded`]; neither ran.
     pub(super) fn enter(&self, inquiry: &Inquiry) -> Result<Admitted<'_>, Refusal> {
-        let class = self.tables.directory().class(&inquiry.class)?;
+        let class = self.engine.tables.directory().class(&inquiry.class)?;
         let entrant = Entrant {
             class: &class,
             caller: &inquiry.caller,
             bytes: ByteCount(inquiry.body.len() as u64),
         };
         let now = self.clock.now();
-        let ticket = self.tables.admission.lock().admit(now, entrant)?;
+        let ticket = self.engine.tables.admission.lock().admit(now, entrant)?;
         Ok(Admitted {
             instance: self,
             ticket: Some(ticket),
@@ -43,7 +43,12 @@
     fn end(&mut self, end: QueryEnd) {
         if let Some(ticket) = self.ticket.take() {
             let now = self.instance.clock.now();
-            self.instance.tables.admission.lock().end(now, ticket, end);
+            self.instance
+                .engine
+                .tables
+                .admission
+                .lock()
+                .end(now, ticket, end);
         }
     }
 }
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -5,7 +5,7 @@
 
 use futures::future::{AbortHandle, Abortable};
 
-use super::Instance;
+use super::Engine;
 use super::tables::EntryState;
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
 use crate::types::{LegId, QueryId};
@@ -25,7 +25,7 @@
 }
 
 /// Does one job.
-pub(crate) fn dispatch(instance: &Arc<Instance>, job: Job) {
+pub(crate) fn dispatch(engine: &Arc<Engine>, job: Job) {
     let (id, event) = match job {
         Job::Start(id) => (id, None),
         Job::Leg(id, leg, Ok(reply)) => (id, Some(Event::Reply(leg, reply))),
@@ -33,35 +33,36 @@
         Job::Wake(id) => (id, Some(Event::Wake)),
         Job::CallerGone(id) => (id, Some(Event::CallerGone)),
     };
-    let Some(entry) = instance.tables.entry(id) else {
+    let Some(entry) = engine.tables.entry(id) else {
         return;
     };
-    let directory = instance.tables.directory();
+    let directory = engine.tables.directory();
     let mut state = entry.state.lock();
-    let actions = decide(instance, &directory, &mut state, event);
+    state.caller_gone |= matches!(event, Some(Event::CallerGone));
+    let actions = decide(engine, &directory, &mut state, event);
     let finished = state.query.is_finished();
     for action in actions {
-        perform(instance, id, &mut state, action);
+        perform(engine, id, &mut state, action);
     }
     drop(state);
     if finished {
-        instance.tables.remove(id);
+        engine.tables.remove(id);
     }
 }
 
 fn decide(
-    instance: &Instance,
+    engine: &Engine,
     directory: &Directory,
     state: &mut EntryState,
     event: Option<Event>,
 ) -> Vec<Action> {
-    let mut budgets = instance.tables.budgets.lock();
-    let mut suspects = instance.tables.suspects.lock();
-    let mut limits = instance.tables.limits.lock();
-    let mut upstreams = instance.tables.upstreams.lock();
-    let mut rng = instance.tables.rng.lock();
+    let mut budgets = engine.tables.budgets.lock();
+    let mut suspects = engine.tables.suspects.lock();
+    let mut limits = engine.tables.limits.lock();
+    let mut upstreams = engine.tables.upstreams.lock();
+    let mut rng = engine.tables.rng.lock();
     let mut cx = Context {
-        now: instance.clock.now(),
+        now: engine.clock.now(),
         snapshots: directory.snapshots(state.query.index()),
         suspects: &mut suspects,
         limits: &mut limits,
@@ -75,39 +76,41 @@
     }
 }
 
-fn perform(instance: &Arc<Instance>, id: QueryId, state: &mut EntryState, action: Action) {
+fn perform(engine: &Arc<Engine>, id: QueryId, state: &mut EntryState, action: Action) {
     match action {
         Action::Send(leg) => {
             let (abort, registration) = AbortHandle::new_pair();
             state.legs.insert(leg.leg, abort);
-            let sent = Abortable::new(run_leg(Arc::clone(instance), leg), registration);
+            let sent = Abortable::new(run_leg(Arc::clone(engine), leg), registration);
             async_std::task::spawn(sent);
         }
         Action::Cancel(leg) => {
-            if let Some(abort) = state.legs.swap_remove(&leg) {
+            let abort = state.legs.swap_remove(&leg);
+            let finishes = engine.carrier.cancel_costs_connection() && !state.caller_gone;
+            if let Some(abort) = abort.filter(|_| !finishes) {
                 abort.abort();
             }
         }
-        Action::WakeAt(at) => instance.timer.wake_at(at, id),
+        Action::WakeAt(at) => engine.timer.wake_at(at, id),
         Action::Finish(outcome) => {
             if state.reply.try_send(outcome).is_err() {
-                instance.metrics.unheard_answers.add(1, &[]);
+                engine.metrics.unheard_answers.add(1, &[]);
             }
         }
     }
 }
 
-async fn run_leg(instance: Arc<Instance>, leg: LegRequest) {
+async fn run_leg(engine: Arc<Engine>, leg: LegRequest) {
     let (query, id) = (leg.query, leg.leg);
     let upstream = Arc::clone(&leg.upstream);
-    instance.metrics.leg_sent(&upstream.name);
-    let most = instance.tables.limits.lock().connections(&leg.upstream);
-    let result = instance.links.call(leg, most).await;
+    engine.metrics.leg_sent(&upstream.name);
+    let most = engine.tables.limits.lock().connections(&leg.upstream);
+    let result = engine.carrier.call(leg, most).await;
     if let Err(failure) = &result {
-        instance.metrics.leg_failed(&upstream.name, *failure);
+        engine.metrics.leg_failed(&upstream.name, *failure);
     }
-    let sent = instance.jobs.send(Job::Leg(query, id, result)).await;
-    if sent.is_err() {
+    let sent = engine.submit(Job::Leg(query, id, result)).await;
+    if !sent {
         tracing::debug!(%query, "a leg ended after the workers did");
     }
 }
--- /dev/null
+++ b/src/process/engine.rs
@@ -0,0 +1,168 @@
+//! What every front end shares: the tables, the workers over them, and the way of a
+//! query from its first job to its answer.
+
+use std::fmt::Debug;
+use std::future::Future;
+use std::sync::Arc;
+
+use async_std::channel::{self, Receiver, Sender};
+use futures::future::{BoxFuture, Either, select};
+use indexmap::IndexMap;
+use rand::RngCore;
+
+use super::dispatch::dispatch;
+use super::tables::{EntryState, Tables};
+use super::timer::Timer;
+use super::{Clock, Job, Metrics, pool};
+use crate::error::{ErrorKind, Refusal};
+use crate::request::{Answer, LegFailure, LegReply, LegRequest, Query};
+use crate::types::{ConnectionCount, QueryId};
+
+const JOB_QUEUE: usize = 65_536;
+
+/// Takes legs to upstreams: an edge of the process.
+pub(crate) trait Carrier: Debug + Send + Sync {
+    /// Sends a leg over one of at most `most` connections to its upstream and waits for
+    /// the reply. Dropping the future ends the leg at the upstream.
+    fn call(
+        &self,
+        leg: LegRequest,
+        most: ConnectionCount,
+    ) -> BoxFuture<'_, Result<LegReply, LegFailure>>;
+
+    /// Whether ending a leg costs its connection, so that a leg whose reply is no longer
+    /// needed is better left to finish while its caller waits or has been answered.
+    fn cancel_costs_connection(&self) -> bool;
+}
+
+/// Which threads decide.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Workers {
+    /// So many threads that take jobs from one queue.
+    Pool(usize),
+    /// The threads that run the connections' tasks. This saves two changes of thread for
+    /// each leg, which is most of what a leg costs on a machine with one core.
+    Connections,
+}
+
+#[derive(Debug)]
+enum Jobs {
+    Queue(Sender<Job>),
+    Direct,
+}
+
+/// The shared tables with the workers over them.
+#[derive(Debug)]
+pub(crate) struct Engine {
+    pub(crate) clock: Clock,
+    pub(crate) tables: Tables,
+    pub(crate) timer: Arc<Timer>,
+    pub(crate) metrics: Metrics,
+    pub(crate) carrier: Box<dyn Carrier>,
+    jobs: Jobs,
+}
+
+type Outcome = Result<Answer, Refusal>;
+
+impl Engine {
+    /// Starts the workers and the timer.
+    ///
+    /// # Errors
+    /// When a thread cannot be started or a metric is refused.
+    pub(crate) fn start(
+        clock: Clock,
+        carrier: Box<dyn Carrier>,
+        workers: Workers,
+    ) -> anyhow::Result<Arc<Self>> {
+        let (jobs, queue) = match workers {
+            Workers::Pool(_) => {
+                let (tx, rx) = channel::bounded(JOB_QUEUE);
+                (Jobs::Queue(tx), Some(rx))
+            }
+            Workers::Connections => (Jobs::Direct, None),
+        };
+        let engine = Arc::new(Self {
+            clock,
+            tables: Tables::new(rand::rng().next_u64()),
+            timer: Arc::new(Timer::new()),
+            metrics: Metrics::new()?,
+            carrier,
+            jobs,
+        });
+        if let (Workers::Pool(count), Some(queue)) = (workers, queue) {
+            pool::spawn(&engine, &queue, count)?;
+        }
+        engine.timer.spawn(&engine)?;
+        Ok(engine)
+    }
+
+    /// Has a job done; false when the process is stopping.
+    pub(crate) async fn submit(self: &Arc<Self>, job: Job) -> bool {
+        match &self.jobs {
+            Jobs::Queue(jobs) => jobs.send(job).await.is_ok(),
+            Jobs::Direct => {
+                dispatch(self, job);
+                true
+            }
+        }
+    }
+
+    /// Like [`Engine::submit`], for a thread that may block.
+    pub(super) fn submit_blocking(self: &Arc<Self>, job: Job) -> bool {
+        match &self.jobs {
+            Jobs::Queue(jobs) => jobs.send_blocking(job).is_ok(),
+            Jobs::Direct => {
+                dispatch(self, job);
+                true
+            }
+        }
+    }
+
+    /// A new id for a query.
+    pub(crate) fn query_id() -> QueryId {
+        let mut rng = rand::rng();
+        QueryId(u128::from(rng.next_u64()) << 64 | u128::from(rng.next_u64()))
+    }
+
+    /// Runs a query to its end; `gone` completes when the caller has hung up.
+    ///
+    /// # Errors
+    /// What the query was refused with.
+    pub(crate) async fn run(
+        self: &Arc<Self>,
+        query: Query,
+        gone: impl Future<Output = ()> + Unpin,
+    ) -> Outcome {
+        let id = query.id();
+        let (reply, answer): (_, Receiver<Outcome>) = channel::bounded(1);
+        self.tables.insert(
+            id,
+            EntryState {
+                query,
+                legs: IndexMap::new(),
+                reply,
+                caller_gone: false,
+            },
+        );
+        if !self.submit(Job::Start(id)).await {
+            return Err(stopping());
+        }
+        let answer = Box::pin(answer.recv());
+        match select(answer, gone).await {
+            Either::Left((outcome, _)) => outcome.map_err(|_| stopping())?,
+            Either::Right(((), _)) => {
+                if !self.submit(Job::CallerGone(id)).await {
+                    return Err(stopping());
+                }
+                Err(Refusal::new(ErrorKind::Internal, "the caller hung up"))
+            }
+        }
+    }
+}
+
+fn stopping() -> Refusal {
+    Refusal::new(
+        ErrorKind::Internal,
+        "the instance stopped while the request was under way",
+    )
+}
--- a/src/process/follow.rs
+++ b/src/process/follow.rs
@@ -113,7 +113,7 @@
 }
 
 fn adopt_version(instance: &Instance, object: &Object) -> anyhow::Result<()> {
-    let mut directory = instance.tables.directory.lock();
+    let mut directory = instance.engine.tables.directory.lock();
     if let Some(next) = read(&directory, object)? {
         let config = next.config;
         *directory = Arc::new(next);
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -57,7 +57,7 @@
         }
         let pause = {
             let members = instance.members.lock();
-            members.pause(&mut instance.tables.rng.lock())
+            members.pause(&mut instance.engine.tables.rng.lock())
         };
         timeout(pause.as_duration(), end.hurry.recv()).await.ok();
     }
@@ -88,7 +88,7 @@
     let now = instance.clock.now();
     let drawn = {
         let members = instance.members.lock();
-        members.stranger(now, &mut instance.tables.rng.lock())
+        members.stranger(now, &mut instance.engine.tables.rng.lock())
     };
     if let Some((name, addr)) = drawn {
         exchange(instance, name.as_ref(), addr).await;
@@ -140,7 +140,7 @@
         Ok(Told::Objects(_)) => None,
         Err(error) => {
             tracing::debug!(%error, %addr, "an instance did not reply to a heartbeat");
-            instance.metrics.members.heartbeat_failed();
+            instance.engine.metrics.members.heartbeat_failed();
             members.on_silence(now, addr);
             None
         }
@@ -175,9 +175,9 @@
     let mut members = instance.members.lock();
     members.learn();
     let live = members.live(now);
-    instance.metrics.members.state(now, &members, live);
+    instance.engine.metrics.members.state(now, &members, live);
     drop(members);
-    instance.tables.limits.lock().set_live(now, live);
+    instance.engine.tables.limits.lock().set_live(now, live);
     instance.orders.set_live(live);
 }
 
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -3,28 +3,22 @@
 use std::future::Future;
 use std::sync::Arc;
 
-use async_std::channel::{self, Sender};
-use futures::future::{Either, select};
-use indexmap::IndexMap;
-use rand::RngCore;
+use async_std::channel;
 
 use super::heartbeat::Beats;
 use super::members::Members;
 use super::orders::{Claim, OrderKey, Orders};
 use super::shutdown::Shutdown;
-use super::tables::{EntryState, Tables};
-use super::timer::Timer;
 use super::{
-    Clock, Config, HttpPlatform, Job, Metrics, Platform, Rank, Ranked, Settings, follow, heartbeat,
-    poison, pool,
+    Clock, Config, Engine, HttpPlatform, Platform, Rank, Ranked, Settings, Workers, follow,
+    heartbeat, poison,
 };
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, Inquiry, Query};
-use crate::types::{Fingerprint, QueryId, Span, Timestamp};
+use crate::types::{Fingerprint, Span, Timestamp};
 use crate::version::Class;
 
-const JOB_QUEUE: usize = 65_536;
 /// A claim may take up this part of an order's time.
 const CLAIM_PART: u64 = 2;
 const ANSWER_MARGIN: Span = Span::from_millis(2);
@@ -34,11 +28,7 @@
 pub(crate) struct Instance {
     pub(crate) settings: Settings,
     pub(crate) clock: Clock,
-    pub(crate) tables: Tables,
-    pub(crate) timer: Arc<Timer>,
-    pub(crate) links: Links,
-    pub(crate) jobs: Sender<Job>,
-    pub(crate) metrics: Metrics,
+    pub(crate) engine: Arc<Engine>,
     pub(crate) platform: Arc<dyn Platform>,
     pub(crate) orders: Arc<Orders>,
     pub(crate) config: Config,
@@ -55,12 +45,12 @@
     /// When a thread cannot be started or a metric is refused.
     pub(crate) fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
         let clock = Clock::new();
-        let (jobs, queue) = channel::bounded(JOB_QUEUE);
+        let carrier = Box::new(Links::new(clock));
+        let engine = Engine::start(clock, carrier, Workers::Pool(settings.workers))?;
         let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
             settings.platform,
             settings.platform_rates,
         ));
-        let workers = settings.workers;
         let members = Members::of(&settings);
         let (beats, end) = heartbeat::beats();
         let shutdown = Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop_times()));
@@ -68,11 +58,7 @@
         let instance = Arc::new(Self {
             settings,
             clock,
-            tables: Tables::new(rand::rng().next_u64()),
-            timer: Arc::new(Timer::new()),
-            links: Links::new(clock),
-            jobs,
-            metrics: Metrics::new()?,
+            engine,
             orders: Orders::new(Arc::clone(&platform), clock),
             config: Config::new(Arc::clone(&platform), clock),
             platform,
@@ -82,12 +68,10 @@
             shutdown,
         });
         let home = instance.settings.failure_domain.clone();
-        instance.tables.upstreams.lock().set_home(home);
-        pool::spawn(&instance, &queue, workers)?;
-        instance.timer.spawn(clock, instance.jobs.clone())?;
+        instance.engine.tables.upstreams.lock().set_home(home);
         instance.orders.start();
         let (wake, news) = channel::bounded(1);
-        instance.tables.suspects.lock().wake_on_news(wake);
+        instance.engine.tables.suspects.lock().wake_on_news(wake);
         async_std::task::spawn(poison::share(Arc::clone(&instance), news));
         async_std::task::spawn(Arc::clone(&instance.config.audit).flush_forever());
         follow::spawn(&instance);
@@ -108,9 +92,10 @@
         let outcome = self.admit_and_wait(inquiry, gone).await;
         match &outcome {
             Ok(answer) => self
+                .engine
                 .metrics
                 .answered(&class, answer.meets_target, answer.took),
-            Err(refusal) => self.metrics.refused(refusal.kind),
+            Err(refusal) => self.engine.metrics.refused(refusal.kind),
         }
         outcome
     }
@@ -125,11 +110,11 @@
         self.refuse_poison(&inquiry, started)?;
         let admitted = self.enter(&inquiry)?;
         let mut claim = self.claim(&inquiry, started).await?;
-        let (id, answer) = self.admit(inquiry, started)?;
+        let query = self.begin(inquiry, started)?;
         if let Some(claim) = &mut claim {
             claim.begin();
         }
-        let outcome = self.run(id, answer, gone).await;
+        let outcome = self.engine.run(query, gone).await;
         if let Some(claim) = claim {
             claim.close(&outcome);
         }
@@ -139,7 +124,7 @@
 
     fn refuse_poison(&self, inquiry: &Inquiry, now: Timestamp) -> Result<(), Refusal> {
         let request = Fingerprint::of(&inquiry.class, &inquiry.body);
-        if !self.tables.suspects.lock().is_poison(now, request) {
+        if !self.engine.tables.suspects.lock().is_poison(now, request) {
             return Ok(());
         }
         Err(Refusal::new(
@@ -150,7 +135,7 @@
 
     /// Claims an order for this attempt; a repeatable request needs no claim.
     async fn claim(&self, inquiry: &Inquiry, started: Timestamp) -> Result<Option<Claim>, Refusal> {
-        let class = self.tables.directory().class(&inquiry.class)?;
+        let class = self.engine.tables.directory().class(&inquiry.class)?;
         if class.targets.repeatable {
             return Ok(None);
         }
@@ -160,38 +145,10 @@
         self.orders.claim(key, body, until).await.map(Some)
     }
 
-    async fn run(
-        &self,
-        id: QueryId,
-        answer: impl Future<Output = Outcome> + Unpin,
-        gone: impl Future<Output = ()> + Unpin,
-    ) -> Result<Answer, Refusal> {
-        self.jobs
-            .send(Job::Start(id))
-            .await
-            .map_err(|_| stopping())?;
-        match select(answer, gone).await {
-            Either::Left((outcome, _)) => outcome.map_err(|_| stopping())?,
-            Either::Right(((), _)) => {
-                self.jobs
-                    .send(Job::CallerGone(id))
-                    .await
-                    .map_err(|_| stopping())?;
-                Err(Refusal::new(ErrorKind::Internal, "the caller hung up"))
-            }
-        }
-    }
-
-    fn admit(
-        &self,
-        inquiry: Inquiry,
-        started: Timestamp,
-    ) -> Result<(QueryId, impl Future<Output = Outcome> + Unpin + use<>), Refusal> {
-        let directory = self.tables.directory();
+    fn begin(&self, inquiry: Inquiry, started: Timestamp) -> Result<Query, Refusal> {
+        let directory = self.engine.tables.directory();
         let class = directory.class(&inquiry.class)?;
         let snapshot = directory.newest(&class.index)?;
-        let id =
-            QueryId(u128::from(rand::rng().next_u64()) << 64 | u128::from(rand::rng().next_u64()));
         let deadline = started + timeout(&inquiry, &class) - ANSWER_MARGIN;
         if self.clock.now() >= deadline {
             return Err(Refusal::new(
@@ -199,31 +156,20 @@
                 "the time ran out before the request was begun",
             ));
         }
-        let (reply, answer) = channel::bounded(1);
-        let query = Query::new(id, class, snapshot, inquiry.body, started, deadline);
-        self.tables.insert(
+        let id = Engine::query_id();
+        Ok(Query::new(
             id,
-            EntryState {
-                query,
-                legs: IndexMap::new(),
-                reply,
-            },
-        );
-        Ok((id, Box::pin(async move { answer.recv().await })))
+            class,
+            snapshot,
+            inquiry.body,
+            started,
+            deadline,
+        ))
     }
 }
 
-type Outcome = Result<Result<Answer, Refusal>, channel::RecvError>;
-
 /// The time that the caller or the class allows, whichever is less.
 fn timeout(inquiry: &Inquiry, class: &Class) -> Span {
     let target = class.targets.latency;
     inquiry.timeout.unwrap_or(target).min(target)
 }
-
-fn stopping() -> Refusal {
-    Refusal::new(
-        ErrorKind::Internal,
-        "the instance stopped while the request was under way",
-    )
-}
--- a/src/process/lead.rs
+++ b/src/process/lead.rs
@@ -92,7 +92,7 @@
                 self.renewed = sent;
                 self.summary = None;
                 tracing::info!(%cell, %epoch, "leads its cell");
-                instance.metrics.members.took_lease();
+                instance.engine.metrics.members.took_lease();
                 self.publish(instance).await;
                 true
             }
@@ -156,7 +156,7 @@
             Ok(version) => {
                 self.summary = Some(Expected::Version(version));
                 instance.members.lock().adopt_summary(&summary);
-                instance.metrics.members.published();
+                instance.engine.metrics.members.published();
             }
             Err(error) => {
                 tracing::debug!(%error, %cell, "could not publish the summary");
@@ -242,7 +242,7 @@
     if put_summary(instance, &summary, expected).await.is_ok() {
         instance.members.lock().adopt_summary(&summary);
         tracing::info!(%cell, %epoch, "a lost cell is empty now");
-        instance.metrics.members.lost_cell();
+        instance.engine.metrics.members.lost_cell();
     }
     let released = record(instance, epoch, 1, true);
     let expected = Expected::Version(version);
@@ -290,7 +290,7 @@
     };
     known.then(|| {
         let mut members = instance.members.lock();
-        members.join(&mut instance.tables.rng.lock())
+        members.join(&mut instance.engine.tables.rng.lock())
     })
 }
 
--- a/src/process/poison.rs
+++ b/src/process/poison.rs
@@ -71,26 +71,26 @@
     let marks = Marks::try_from(object)?;
     let live = marks.live(instance.clock.wall());
     let now = instance.clock.now();
-    instance.tables.suspects.lock().adopt(now, &live);
+    instance.engine.tables.suspects.lock().adopt(now, &live);
     Ok(())
 }
 
 /// Tells the platform what happens here until the process ends.
 pub(crate) async fn share(instance: Arc<Instance>, news: Receiver<()>) {
     while news.recv().await.is_ok() {
-        let (marked, cleared) = instance.tables.suspects.lock().take_news();
+        let (marked, cleared) = instance.engine.tables.suspects.lock().take_news();
         if marked.is_empty() && cleared.is_empty() {
             continue;
         }
         if let Err(error) = write(&instance, &marked, &cleared).await {
             tracing::debug!(%error, "marks of suspects are told later");
             let marked = marked.iter().map(|mark| mark.request);
-            let mut suspects = instance.tables.suspects.lock();
+            let mut suspects = instance.engine.tables.suspects.lock();
             suspects.put_back(marked.chain(cleared));
         }
         let pause = Span(PAUSE_PER_INSTANCE.0 * u64::from(instance.orders.live()));
         async_std::task::sleep(pause.as_duration()).await;
-        instance.tables.suspects.lock().wake_for_news();
+        instance.engine.tables.suspects.lock().wake_for_news();
     }
 }
 
--- a/src/process/pool.rs
+++ b/src/process/pool.rs
@@ -7,26 +7,26 @@
 use async_std::channel::Receiver;
 
 use super::dispatch::dispatch;
-use super::{Instance, Job};
+use super::{Engine, Job};
 
 /// Starts the workers; each ends when the queue is closed.
 pub(crate) fn spawn(
-    instance: &Arc<Instance>,
+    engine: &Arc<Engine>,
     jobs: &Receiver<Job>,
     workers: usize,
 ) -> std::io::Result<()> {
     for number in 0..workers {
-        let instance = Arc::clone(instance);
+        let engine = Arc::clone(engine);
         let jobs = jobs.clone();
         thread::Builder::new()
             .name(format!("worker-{number}"))
-            .spawn(move || work(&instance, &jobs))?;
+            .spawn(move || work(&engine, &jobs))?;
     }
     Ok(())
 }
 
-fn work(instance: &Arc<Instance>, jobs: &Receiver<Job>) {
+fn work(engine: &Arc<Engine>, jobs: &Receiver<Job>) {
     while let Ok(job) = jobs.recv_blocking() {
-        dispatch(instance, job);
+        dispatch(engine, job);
     }
 }
--- a/src/process/tables.rs
+++ b/src/process/tables.rs
@@ -39,6 +39,7 @@
     pub(crate) query: Query,
     pub(crate) legs: IndexMap<LegId, AbortHandle>,
     pub(crate) reply: Sender<Result<Answer, Refusal>>,
+    pub(crate) caller_gone: bool,
 }
 
 impl Tables {
--- a/src/process/timer.rs
+++ b/src/process/timer.rs
@@ -5,10 +5,9 @@
 use std::sync::Arc;
 use std::thread;
 
-use async_std::channel::Sender;
 use parking_lot::Condvar;
 
-use super::{Clock, Job, Rank, Ranked};
+use super::{Clock, Engine, Job, Rank, Ranked};
 use crate::types::{QueryId, Timestamp};
 
 /// The times at which queries are to be woken, soonest first.
@@ -45,18 +44,18 @@
     }
 
     /// Starts the thread that passes due times on as jobs.
-    pub(crate) fn spawn(self: &Arc<Self>, clock: Clock, jobs: Sender<Job>) -> std::io::Result<()> {
-        let timer = Arc::clone(self);
+    pub(crate) fn spawn(&self, engine: &Arc<Engine>) -> std::io::Result<()> {
+        let engine = Arc::clone(engine);
         thread::Builder::new()
             .name("timer".to_owned())
-            .spawn(move || timer.run(clock, &jobs))
+            .spawn(move || engine.timer.run(&engine))
             .map(drop)
     }
 
-    fn run(&self, clock: Clock, jobs: &Sender<Job>) {
+    fn run(&self, engine: &Arc<Engine>) {
         loop {
-            for query in self.wait(clock) {
-                if jobs.send_blocking(Job::Wake(query)).is_err() {
+            for query in self.wait(engine.clock) {
+                if !engine.submit_blocking(Job::Wake(query)) {
                     return;
                 }
             }
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -136,6 +136,12 @@
         }
     }
 
+    /// Its id.
+    #[must_use]
+    pub fn id(&self) -> QueryId {
+        self.id
+    }
+
     /// The index that it queries.
     #[must_use]
     pub fn index(&self) -> &IndexName {
