--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -179,6 +179,7 @@
                     leg: leg.leg,
                     snapshot: leg.snapshot,
                     range: leg.range,
+                    head: None,
                     body: Vec::new(),
                 };
                 let event = Event::Reply(leg.leg, reply);
--- a/examples/model/baseline.rs
+++ b/examples/model/baseline.rs
@@ -163,6 +163,7 @@
             .map(|(shard, _)| Part {
                 shard: shard.id,
                 range: shard.range,
+                head: None,
                 body: Vec::new(),
             })
             .collect();
--- a/examples/model/system.rs
+++ b/examples/model/system.rs
@@ -191,6 +191,7 @@
             .collect();
         Shard {
             id: ShardId(id),
+            service: None,
             range: KeyRange {
                 first: edge(id),
                 last,
--- a/examples/model/world.rs
+++ b/examples/model/world.rs
@@ -272,6 +272,7 @@
             leg: sent.leg,
             snapshot: sent.snapshot,
             range: sent.range,
+            head: None,
             body: Vec::new(),
         };
         let at = self.now + self.delay(leg.0, replica);
--- a/src/cmd/args.rs
+++ b/src/cmd/args.rs
@@ -7,6 +7,7 @@
 use clap::{Args, Parser, Subcommand};
 use clap_complete::Shell;
 
+use crate::platform::PlatformArgs;
 use crate::types::{
     ByteCount, CallerName, ChangeNumber, ClassName, FailureDomain, IdempotencyKey, InstanceName,
     OperatorKey, OperatorName, PeerKey, PerSecond, Region, Span,
@@ -26,6 +27,8 @@
 enum Sub {
     /// Run an instance.
     Serve(ServeArgs),
+    /// Run an instance on the users' platform, by its settings file.
+    Platform(PlatformArgs),
     /// Load running instances open-loop and report what callers saw.
     Load(LoadArgs),
     /// Send one query and print its answer with the coverage.
@@ -371,6 +374,7 @@
     pub fn run(self) -> ExitCode {
         let ran = match self.command {
             Sub::Serve(args) => args.run(),
+            Sub::Platform(args) => args.run(),
             Sub::Load(args) => args.run(),
             Sub::Query(args) => args.run(),
             Sub::Addresses(args) => args.run(),
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -12,11 +12,14 @@
 use async_std::task::JoinHandle;
 use futures::StreamExt;
 use tracing_subscriber::EnvFilter;
+use tracing_subscriber::fmt::MakeWriter;
 
 use super::ServeArgs;
 use super::keys::read_keys;
 use crate::connection;
-use crate::process::{CallRates, Instance, Settings, Step};
+use crate::process::{
+    CallRates, Clock, Instance, MemberState, Node, Ranked, Settings, Shutdown, Step,
+};
 use crate::types::Span;
 
 /// Requests were cut off because a planned stop did not finish in time.
@@ -46,7 +49,7 @@
 }
 
 /// Sets the threads of the runtime, which takes its settings once, when it starts.
-fn limit_io_threads(threads: usize) {
+pub(crate) fn limit_io_threads(threads: usize) {
     let config = GlobalExecutorConfig::default()
         .with_min_threads(threads)
         .with_max_threads(threads)
@@ -55,11 +58,23 @@
 }
 
 fn log_to_stderr() {
+    log_to(std::io::stderr);
+}
+
+/// Writes the log where the platform collects it.
+pub(crate) fn log_to_stdout() {
+    log_to(std::io::stdout);
+}
+
+fn log_to<W>(writer: W)
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
     tracing_subscriber::fmt()
         .json()
         .with_env_filter(filter)
-        .with_writer(std::io::stderr)
+        .with_writer(writer)
         .init();
 }
 
@@ -92,7 +107,7 @@
 ) -> Result<ExitCode> {
     let mut accepting = Some(accepting);
     loop {
-        match next_step(instance, &mut signals).await {
+        match next_step(&instance.shutdown, instance.clock, &mut signals).await {
             Step::Leave => {
                 tracing::info!("leaving; callers are sent elsewhere");
                 instance.leave();
@@ -120,7 +135,41 @@
     }
 }
 
-async fn next_step(instance: &Instance, signals: &mut Signals) -> Step {
+/// Runs an instance on the users' platform until it is told to stop.
+///
+/// # Errors
+/// When signals cannot be listened for.
+pub(crate) async fn run_until_stopped(node: &Node, accepting: JoinHandle<()>) -> Result<ExitCode> {
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int]).context("could not listen for signals")?;
+    let mut hangups = Signals::new([Signal::Hup]).context("could not listen for signals")?;
+    async_std::task::spawn(async move {
+        while hangups.next().await.is_some() {
+            tracing::info!("told that the settings changed; those in use stay until a restart");
+        }
+    });
+    let mut accepting = Some(accepting);
+    loop {
+        match next_step(&node.shutdown, node.clock, &mut signals).await {
+            Step::Leave => {
+                tracing::info!("leaving; callers are sent elsewhere");
+                node.set_state(MemberState::Leaving);
+            }
+            Step::StopAccepting => {
+                tracing::info!("accepts no more; finishes what runs");
+                if let Some(accepting) = accepting.take() {
+                    accepting.cancel().await;
+                }
+            }
+            Step::HandOn(lost) | Step::Abandon(lost) => {
+                tracing::info!(%lost, "stopped");
+                return Ok(ExitCode::SUCCESS);
+            }
+        }
+    }
+}
+
+async fn next_step(shutdown: &Ranked<Shutdown>, clock: Clock, signals: &mut Signals) -> Step {
     let mut began = false;
     loop {
         let signal = if began {
@@ -129,14 +178,14 @@
                 .ok()
                 .flatten()
         } else {
-            began = instance.shutdown.lock().closes_connections();
+            began = shutdown.lock().closes_connections();
             if began {
                 continue;
             }
             signals.next().await
         };
-        let now = instance.clock.now();
-        let mut shutdown = instance.shutdown.lock();
+        let now = clock.now();
+        let mut shutdown = shutdown.lock();
         let step = match signal {
             Some(_) => Some(shutdown.on_signal(now)),
             None => shutdown.on_time(now),
--- /dev/null
+++ b/src/connection/fleet_wire.rs
@@ -0,0 +1,177 @@
+//! What followers ask and are told, as `bincode`; see `peer_wire.rs` for the encoding.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use super::peer_wire::{MemberWire, PeerWireError};
+use crate::process::{Entry, EntryState, Follow, News, ObjectKey, Presence};
+use crate::types::{Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span};
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct PresenceWire {
+    member: MemberWire,
+    seq: u64,
+    capacity: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum StateWire {
+    Held(Vec<u8>),
+    Gone,
+    Lapsed,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct EntryWire {
+    key: String,
+    version: u64,
+    state: StateWire,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct FollowWire {
+    from: PresenceWire,
+    of: u64,
+    objects: u64,
+    members: u64,
+    learned: Vec<PresenceWire>,
+    poison: Vec<u64>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct NewsWire {
+    from: PresenceWire,
+    of: u64,
+    age_us: Option<u64>,
+    via: Vec<String>,
+    objects: Vec<EntryWire>,
+    objects_to: u64,
+    members: Vec<PresenceWire>,
+    members_to: u64,
+    poison: Vec<u64>,
+}
+
+impl From<&Presence> for PresenceWire {
+    fn from(presence: &Presence) -> Self {
+        Self {
+            member: MemberWire::from(&presence.member),
+            seq: presence.seq,
+            capacity: presence.capacity,
+        }
+    }
+}
+
+impl TryFrom<PresenceWire> for Presence {
+    type Error = PeerWireError;
+
+    fn try_from(wire: PresenceWire) -> Result<Self, PeerWireError> {
+        Ok(Self {
+            member: wire.member.try_into()?,
+            seq: wire.seq,
+            capacity: wire.capacity,
+        })
+    }
+}
+
+impl From<&Entry> for EntryWire {
+    fn from(entry: &Entry) -> Self {
+        let state = match &entry.state {
+            EntryState::Held(value) => StateWire::Held(value.to_vec()),
+            EntryState::Gone => StateWire::Gone,
+            EntryState::Lapsed => StateWire::Lapsed,
+        };
+        Self {
+            key: entry.key.to_string(),
+            version: entry.version.0,
+            state,
+        }
+    }
+}
+
+impl From<EntryWire> for Entry {
+    fn from(wire: EntryWire) -> Self {
+        let state = match wire.state {
+            StateWire::Held(value) => EntryState::Held(Arc::from(value)),
+            StateWire::Gone => EntryState::Gone,
+            StateWire::Lapsed => EntryState::Lapsed,
+        };
+        Self {
+            key: ObjectKey::new(wire.key),
+            version: ObjectVersion(wire.version),
+            state,
+        }
+    }
+}
+
+impl From<&Follow> for FollowWire {
+    fn from(follow: &Follow) -> Self {
+        Self {
+            from: PresenceWire::from(&follow.from),
+            of: follow.of.0,
+            objects: follow.objects.0,
+            members: follow.members.0,
+            learned: follow.learned.iter().map(PresenceWire::from).collect(),
+            poison: follow.poison.iter().map(|request| request.0).collect(),
+        }
+    }
+}
+
+impl TryFrom<FollowWire> for Follow {
+    type Error = PeerWireError;
+
+    fn try_from(wire: FollowWire) -> Result<Self, PeerWireError> {
+        Ok(Self {
+            from: wire.from.try_into()?,
+            of: Incarnation(wire.of),
+            objects: Position(wire.objects),
+            members: Position(wire.members),
+            learned: presences(wire.learned)?,
+            poison: wire.poison.into_iter().map(Fingerprint).collect(),
+        })
+    }
+}
+
+impl From<&News> for NewsWire {
+    fn from(news: &News) -> Self {
+        Self {
+            from: PresenceWire::from(&news.from),
+            of: news.of.0,
+            age_us: news.age.map(|age| age.0),
+            via: news.via.iter().map(ToString::to_string).collect(),
+            objects: news.objects.iter().map(EntryWire::from).collect(),
+            objects_to: news.objects_to.0,
+            members: news.members.iter().map(PresenceWire::from).collect(),
+            members_to: news.members_to.0,
+            poison: news.poison.iter().map(|request| request.0).collect(),
+        }
+    }
+}
+
+impl TryFrom<NewsWire> for News {
+    type Error = PeerWireError;
+
+    fn try_from(wire: NewsWire) -> Result<Self, PeerWireError> {
+        let via: Result<Vec<InstanceName>, _> = wire.via.iter().map(|name| name.parse()).collect();
+        Ok(Self {
+            from: wire.from.try_into()?,
+            of: Incarnation(wire.of),
+            age: wire.age_us.map(Span),
+            via: via?,
+            objects: wire.objects.into_iter().map(Entry::from).collect(),
+            objects_to: Position(wire.objects_to),
+            members: presences(wire.members)?,
+            members_to: Position(wire.members_to),
+            poison: wire.poison.into_iter().map(Fingerprint).collect(),
+        })
+    }
+}
+
+fn presences(wires: Vec<PresenceWire>) -> Result<Vec<Presence>, PeerWireError> {
+    wires.into_iter().map(Presence::try_from).collect()
+}
--- a/src/connection/hangup.rs
+++ b/src/connection/hangup.rs
@@ -4,18 +4,18 @@
 
 /// Watches one caller's connection.
 #[derive(Clone, Debug)]
-pub(super) struct Hangup {
+pub(crate) struct Hangup {
     stream: TcpStream,
 }
 
 impl Hangup {
-    pub(super) fn new(stream: TcpStream) -> Self {
+    pub(crate) fn new(stream: TcpStream) -> Self {
         Self { stream }
     }
 
     /// Completes when the caller closed the connection. A caller that sends its next
     /// request early is taken to be there, and is not watched any further.
-    pub(super) async fn wait(self) {
+    pub(crate) async fn wait(self) {
         let mut buf = [0; 1];
         let early = matches!(self.stream.peek(&mut buf).await, Ok(1..));
         if early {
--- /dev/null
+++ b/src/connection/http1.rs
@@ -0,0 +1,423 @@
+//! HTTP/1.1 messages on a connection: heads by `httparse`, bodies whole and checked.
+//!
+//! The library that serves the project's own callers reads ahead and does not say whether
+//! a body that ended with its connection was whole, which decides here whether a reply may
+//! be used; see `docs/DESIGN.md`, "On the platform".
+
+use std::io;
+
+use async_std::net::TcpStream;
+use futures::io::{AsyncReadExt, AsyncWriteExt};
+
+/// One read takes a usual reply whole.
+const READ_BYTES: usize = 4 << 10;
+const MOST_TRAILER: usize = 16 << 10;
+const MOST_HEADERS: usize = 64;
+/// The longest line that states a chunk's size.
+const MOST_CHUNK_LINE: usize = 256;
+
+/// Why a message could not be read.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub(crate) enum HttpError {
+    /// The connection failed.
+    #[error("the connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// The connection ended before the first byte of the message.
+    #[error("the connection ended")]
+    Closed,
+    /// The connection ended within the message.
+    #[error("the connection ended within a message")]
+    Truncated,
+    /// The bytes are no message.
+    #[error("the bytes are no message: {0}")]
+    Malformed(&'static str),
+    /// The head is longer than allowed.
+    #[error("the head is too large")]
+    HeadTooLarge,
+    /// The body is longer than allowed.
+    #[error("the body is too large")]
+    BodyTooLarge,
+}
+
+/// How the end of a body is found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Framing {
+    /// After so many bytes.
+    Length(u64),
+    /// After the last chunk.
+    Chunked,
+    /// With the connection.
+    UntilClose,
+}
+
+/// The fields of a head, in their order, with names as they were sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Fields(Vec<(String, Vec<u8>)>);
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestHead {
+    pub(crate) method: String,
+    pub(crate) target: String,
+    /// Whether the sender speaks HTTP/1.0, which closes unless told otherwise.
+    pub(crate) is_old: bool,
+    pub(crate) fields: Fields,
+}
+
+/// The head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: u16,
+    pub(crate) is_old: bool,
+    pub(crate) fields: Fields,
+}
+
+/// A connection with what was read from it and not yet used.
+#[derive(Debug)]
+pub(crate) struct Wire {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Fields {
+    /// The value of a field that is stated once.
+    pub(crate) fn get<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        let mut all = self.all(name);
+        let value = all.next()?;
+        all.next().is_none().then_some(value)
+    }
+
+    /// Every value of a field that is text.
+    pub(crate) fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        self.named(name)
+            .filter_map(|value| std::str::from_utf8(value).ok())
+    }
+
+    /// Whether a field lists the token, as `Connection: close` does.
+    pub(crate) fn lists(&self, name: &str, token: &str) -> bool {
+        let mut tokens = self.all(name).flat_map(|value| value.split(','));
+        tokens.any(|listed| listed.trim().eq_ignore_ascii_case(token))
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &(String, Vec<u8>)> {
+        self.0.iter()
+    }
+
+    fn named<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a [u8]> {
+        let named = move |(known, _): &&(String, Vec<u8>)| known.eq_ignore_ascii_case(name);
+        self.0
+            .iter()
+            .filter(named)
+            .map(|(_, value)| value.as_slice())
+    }
+
+    fn framing(&self) -> Result<Option<Framing>, HttpError> {
+        let mut lengths = self.named("content-length");
+        let mut codings = self.named("transfer-encoding");
+        match (lengths.next(), codings.next()) {
+            (None, None) => Ok(None),
+            (Some(length), None) if lengths.next().is_none() => parse_length(length).map(Some),
+            (None, Some(coding)) if codings.next().is_none() && is_chunked(coding) => {
+                Ok(Some(Framing::Chunked))
+            }
+            _ => Err(HttpError::Malformed("its length is not stated in one way")),
+        }
+    }
+}
+
+impl From<&[httparse::Header<'_>]> for Fields {
+    fn from(headers: &[httparse::Header<'_>]) -> Self {
+        let field = |header: &httparse::Header<'_>| (header.name.to_owned(), header.value.to_vec());
+        Self(headers.iter().map(field).collect())
+    }
+}
+
+impl RequestHead {
+    /// How the body's end is found; a request without a statement has none.
+    ///
+    /// # Errors
+    /// When the length is stated in two ways, which could hide a second request.
+    pub(crate) fn framing(&self) -> Result<Framing, HttpError> {
+        Ok(self.fields.framing()?.unwrap_or(Framing::Length(0)))
+    }
+
+    /// Whether it says anything of a body, be it that it is empty.
+    pub(crate) fn states_body(&self) -> bool {
+        matches!(self.fields.framing(), Ok(Some(_)))
+    }
+
+    /// Whether the sender closes the connection after this request.
+    pub(crate) fn closes(&self) -> bool {
+        let keeps = self.fields.lists("connection", "keep-alive");
+        self.fields.lists("connection", "close") || (self.is_old && !keeps)
+    }
+}
+
+impl ResponseHead {
+    /// How the body's end is found.
+    ///
+    /// # Errors
+    /// When the length is stated in two ways.
+    pub(crate) fn framing(&self) -> Result<Framing, HttpError> {
+        if matches!(self.status, 100..200 | 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        Ok(self.fields.framing()?.unwrap_or(Framing::UntilClose))
+    }
+
+    /// Whether the sender closes the connection after this response.
+    pub(crate) fn closes(&self) -> bool {
+        self.is_old || self.fields.lists("connection", "close")
+    }
+}
+
+impl Wire {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buf: Vec::new(),
+        }
+    }
+
+    /// The connection, to watch for its end.
+    pub(crate) fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Whether bytes have come that belong to no message read so far.
+    pub(crate) fn has_rest(&self) -> bool {
+        !self.buf.is_empty()
+    }
+
+    /// Waits until there is a byte to read; false when the connection ended.
+    ///
+    /// # Errors
+    /// When the connection fails.
+    pub(crate) async fn is_due(&mut self) -> Result<bool, HttpError> {
+        Ok(self.has_rest() || self.fill().await? > 0)
+    }
+
+    pub(crate) async fn write(&mut self, bytes: &[u8]) -> Result<(), HttpError> {
+        Ok(self.stream.write_all(bytes).await?)
+    }
+
+    /// Reads a request's head of at most `most` bytes.
+    ///
+    /// # Errors
+    /// Any of [`HttpError`] but `BodyTooLarge`.
+    pub(crate) async fn request(&mut self, most: usize) -> Result<RequestHead, HttpError> {
+        self.head(most, |buf| {
+            let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+            let mut req = httparse::Request::new(&mut headers);
+            let httparse::Status::Complete(len) = req.parse(buf).map_err(malformed)? else {
+                return Ok(None);
+            };
+            let head = RequestHead {
+                method: req.method.unwrap_or_default().to_owned(),
+                target: req.path.unwrap_or_default().to_owned(),
+                is_old: req.version == Some(0),
+                fields: Fields::from(&*req.headers),
+            };
+            Ok(Some((len, head)))
+        })
+        .await
+    }
+
+    /// Reads a response's head of at most `most` bytes.
+    ///
+    /// # Errors
+    /// Any of [`HttpError`] but `BodyTooLarge`.
+    pub(crate) async fn response(&mut self, most: usize) -> Result<ResponseHead, HttpError> {
+        self.head(most, |buf| {
+            let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+            let mut res = httparse::Response::new(&mut headers);
+            let httparse::Status::Complete(len) = res.parse(buf).map_err(malformed)? else {
+                return Ok(None);
+            };
+            let head = ResponseHead {
+                status: res.code.unwrap_or_default(),
+                is_old: res.version == Some(0),
+                fields: Fields::from(&*res.headers),
+            };
+            Ok(Some((len, head)))
+        })
+        .await
+    }
+
+    async fn head<T>(
+        &mut self,
+        most: usize,
+        parse: impl Fn(&[u8]) -> Result<Option<(usize, T)>, HttpError>,
+    ) -> Result<T, HttpError> {
+        let mut begun = self.has_rest();
+        loop {
+            if begun && let Some((len, head)) = parse(&self.buf)? {
+                if len > most {
+                    return Err(HttpError::HeadTooLarge);
+                }
+                self.buf.drain(..len);
+                return Ok(head);
+            }
+            if self.buf.len() >= most {
+                return Err(HttpError::HeadTooLarge);
+            }
+            if self.fill().await? == 0 {
+                return Err(if begun {
+                    HttpError::Truncated
+                } else {
+                    HttpError::Closed
+                });
+            }
+            begun = true;
+        }
+    }
+
+    /// Reads a whole body of at most `most` bytes.
+    ///
+    /// # Errors
+    /// [`HttpError::Truncated`] when the connection ends before the body does.
+    pub(crate) async fn body(
+        &mut self,
+        framing: Framing,
+        most: usize,
+    ) -> Result<Vec<u8>, HttpError> {
+        match framing {
+            Framing::Length(len) => {
+                let len = usize::try_from(len).unwrap_or(usize::MAX);
+                if len > most {
+                    return Err(HttpError::BodyTooLarge);
+                }
+                self.need(len).await?;
+                Ok(self.buf.drain(..len).collect())
+            }
+            Framing::Chunked => self.chunks(most).await,
+            Framing::UntilClose => {
+                while self.fill().await? > 0 {
+                    if self.buf.len() > most {
+                        return Err(HttpError::BodyTooLarge);
+                    }
+                }
+                Ok(std::mem::take(&mut self.buf))
+            }
+        }
+    }
+
+    async fn chunks(&mut self, most: usize) -> Result<Vec<u8>, HttpError> {
+        let mut body = Vec::new();
+        loop {
+            let len = self.chunk_len().await?;
+            if len == 0 {
+                self.trailer().await?;
+                return Ok(body);
+            }
+            if body.len() + len > most {
+                return Err(HttpError::BodyTooLarge);
+            }
+            self.need(len + 2).await?;
+            if &self.buf[len..len + 2] != b"\r\n" {
+                return Err(HttpError::Malformed("a chunk does not end where it should"));
+            }
+            body.extend_from_slice(&self.buf[..len]);
+            self.buf.drain(..len + 2);
+        }
+    }
+
+    async fn chunk_len(&mut self) -> Result<usize, HttpError> {
+        loop {
+            let parsed = httparse::parse_chunk_size(&self.buf);
+            match parsed.map_err(|_| HttpError::Malformed("a chunk has no size"))? {
+                httparse::Status::Complete((used, len)) => {
+                    self.buf.drain(..used);
+                    return Ok(usize::try_from(len).unwrap_or(usize::MAX / 2));
+                }
+                httparse::Status::Partial if self.buf.len() > MOST_CHUNK_LINE => {
+                    return Err(HttpError::Malformed("a chunk's size does not end"));
+                }
+                httparse::Status::Partial => self.more().await?,
+            }
+        }
+    }
+
+    /// Reads the fields after the last chunk, which nobody here uses.
+    async fn trailer(&mut self) -> Result<(), HttpError> {
+        loop {
+            if let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") {
+                self.buf.drain(..at + 2);
+                if at == 0 {
+                    return Ok(());
+                }
+                continue;
+            }
+            if self.buf.len() > MOST_TRAILER {
+                return Err(HttpError::Malformed("the trailer does not end"));
+            }
+            self.more().await?;
+        }
+    }
+
+    async fn need(&mut self, len: usize) -> Result<(), HttpError> {
+        while self.buf.len() < len {
+            self.more().await?;
+        }
+        Ok(())
+    }
+
+    async fn more(&mut self) -> Result<(), HttpError> {
+        match self.fill().await? {
+            0 => Err(HttpError::Truncated),
+            _ => Ok(()),
+        }
+    }
+
+    async fn fill(&mut self) -> Result<usize, HttpError> {
+        let mut chunk = vec![0; READ_BYTES];
+        let count = self.stream.read(&mut chunk).await?;
+        self.buf.extend_from_slice(&chunk[..count]);
+        Ok(count)
+    }
+}
+
+fn malformed(error: httparse::Error) -> HttpError {
+    HttpError::Malformed(match error {
+        httparse::Error::HeaderName => "a field's name is none",
+        httparse::Error::HeaderValue => "a field's value is none",
+        httparse::Error::TooManyHeaders => "it has too many fields",
+        httparse::Error::Version => "its version is unknown",
+        _ => "its first line is none",
+    })
+}
+
+fn parse_length(value: &[u8]) -> Result<Framing, HttpError> {
+    let digits = std::str::from_utf8(value).ok();
+    digits
+        .filter(|digits| !digits.is_empty() && digits.bytes().all(|byte| byte.is_ascii_digit()))
+        .and_then(|digits| digits.parse().ok())
+        .map(Framing::Length)
+        .ok_or(HttpError::Malformed("its length is not a whole number"))
+}
+
+fn is_chunked(coding: &[u8]) -> bool {
+    coding.eq_ignore_ascii_case(b"chunked")
+}
+
+/// Whether a field concerns one connection only and is not passed on.
+pub(crate) fn is_hop_by_hop(name: &str) -> bool {
+    const NAMES: &[&str] = &[
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    ];
+    NAMES.iter().any(|known| name.eq_ignore_ascii_case(known))
+}
+
+#[cfg(test)]
+#[path = "http1_tests.rs"]
+mod http1_tests;
--- /dev/null
+++ b/src/connection/http1_tests.rs
@@ -0,0 +1,111 @@
+//! A message is read whole or refused: nothing that is cut short, too long or framed in
+//! two ways passes for one.
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::block_on;
+use futures::io::AsyncWriteExt;
+use rstest::rstest;
+
+use super::{HttpError, Wire};
+
+const MOST_HEAD: usize = 512;
+const MOST_BODY: usize = 64;
+
+/// What a peer that sends `bytes` and closes is read as: each message's body.
+fn responses(bytes: &'static [u8]) -> Vec<Result<Vec<u8>, HttpError>> {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut sender = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        sender.write_all(bytes).await.unwrap();
+        drop(sender);
+        let mut wire = Wire::new(stream);
+        let mut read = Vec::new();
+        loop {
+            let body = match wire.response(MOST_HEAD).await {
+                Ok(head) => match head.framing() {
+                    Ok(framing) => wire.body(framing, MOST_BODY).await,
+                    Err(error) => Err(error),
+                },
+                Err(error) => Err(error),
+            };
+            let ended = body.is_err();
+            read.push(body);
+            if ended {
+                return read;
+            }
+        }
+    })
+}
+
+struct Case {
+    sent: &'static [u8],
+    bodies: &'static [&'static [u8]],
+    end: &'static str,
+}
+
+#[rstest]
+#[case::by_length(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", bodies: &[b"ok"], end: "Closed",
+})]
+#[case::cut_short(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", bodies: &[], end: "Truncated",
+})]
+#[case::cut_in_the_head(Case { sent: b"HTTP/1.1 200 OK\r\nConte", bodies: &[], end: "Truncated" })]
+#[case::in_chunks(Case {
+    sent: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+    bodies: &[b"ok"], end: "Closed",
+})]
+#[case::chunks_with_a_trailer(Case {
+    sent: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n0\r\nA: b\r\n\r\n",
+    bodies: &[b"o"], end: "Closed",
+})]
+#[case::cut_between_chunks(Case {
+    sent: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n",
+    bodies: &[], end: "Truncated",
+})]
+#[case::chunk_too_long_for_its_size(Case {
+    sent: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nok\r\n0\r\n\r\n",
+    bodies: &[], end: "Malformed",
+})]
+#[case::until_close(Case { sent: b"HTTP/1.1 200 OK\r\n\r\nok", bodies: &[b"ok"], end: "Closed" })]
+#[case::length_in_two_ways(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+    bodies: &[], end: "Malformed",
+})]
+#[case::two_lengths(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+    bodies: &[], end: "Malformed",
+})]
+#[case::signed_length(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok", bodies: &[], end: "Malformed",
+})]
+#[case::body_over_the_limit(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 65\r\n\r\n", bodies: &[], end: "BodyTooLarge",
+})]
+#[case::second_response(Case {
+    sent: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+    bodies: &[b"ok", b""], end: "Closed",
+})]
+#[case::no_response(Case { sent: b"\x00\x01\x02\r\n\r\n", bodies: &[], end: "Malformed" })]
+#[case::nothing(Case { sent: b"", bodies: &[], end: "Closed" })]
+fn read_whole_or_refused(#[case] case: Case) {
+    let mut read = responses(case.sent);
+    let end = read.pop().unwrap().unwrap_err();
+    let bodies: Vec<Vec<u8>> = read.into_iter().map(Result::unwrap).collect();
+    assert_eq!(bodies, case.bodies);
+    let end = format!("{end:?}");
+    assert!(end.starts_with(case.end), "{end}");
+}
+
+#[test]
+fn a_long_head_is_refused() {
+    const LONG: &[u8] = &[b'a'; 600];
+    let end = responses(LONG).pop().unwrap().unwrap_err();
+    assert!(matches!(
+        end,
+        HttpError::HeadTooLarge | HttpError::Malformed(_)
+    ));
+}
--- a/src/connection/leg_wire.rs
+++ b/src/connection/leg_wire.rs
@@ -95,6 +95,7 @@
         leg: read(headers, LEG)?,
         snapshot: read(headers, SNAPSHOT)?,
         range: read(headers, RANGE)?,
+        head: None,
         body,
     })
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,11 +8,13 @@
 mod caller;
 mod conn;
 mod exchange;
+mod fleet_wire;
 mod front;
 mod hangup;
 mod head;
 mod heard;
 mod heartbeat;
+mod http1;
 mod leg_wire;
 mod links;
 mod operator_api;
@@ -44,9 +46,13 @@
 
 pub(crate) use auth::sign as sign_token;
 pub(crate) use front::accept;
+pub(crate) use hangup::Hangup;
+#[cfg(test)]
+pub(crate) use http1::Fields;
+pub(crate) use http1::{HttpError, RequestHead, ResponseHead, Wire, is_hop_by_hop};
 pub(crate) use links::Links;
 pub(crate) use peer::Peers;
-pub(crate) use peer_server::accept as accept_peers;
+pub(crate) use peer_server::{Host, accept as accept_peers};
 
 pub use address_api::{AddressWire, AddressesWire, CellStatusWire, MemberStatusWire, MembersWire};
 pub use operator_wire::{
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -5,6 +5,7 @@
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
+use futures::future::BoxFuture;
 use h2::RecvStream;
 use h2::server::{self, SendResponse};
 use http::{Request, Response, StatusCode};
@@ -17,7 +18,8 @@
     self, AskWire, ChallengeWire, HelloWire, MOST_HELLO_BYTES, MOST_MESSAGE_BYTES, PROTOCOL,
     PeerWireError, ProofWire, ToldWire,
 };
-use crate::process::{Ask, Instance, Rank, Ranked};
+use crate::process::{Ask, Rank, Ranked, Told};
+use crate::types::PeerKey;
 use crate::types::Span;
 
 const AUTHENTICATE_WITHIN: Span = Span::from_secs(5);
@@ -25,6 +27,18 @@
 const MOST_STREAMS: u32 = 8;
 const MOST_PROOFS: usize = 4;
 
+/// An instance that others ask: an edge of the process.
+pub(crate) trait Host: Send + Sync + 'static {
+    /// The keys that others may prove that they have.
+    fn peer_keys(&self) -> &[PeerKey];
+
+    /// Notes that a connection was refused.
+    fn refused(&self, status: StatusCode);
+
+    /// Answers another instance.
+    fn answer(&self, ask: Ask) -> BoxFuture<'_, Told>;
+}
+
 /// How far a connection has come.
 #[derive(Clone, Debug)]
 enum Stage {
@@ -41,14 +55,14 @@
 ///
 /// # Errors
 /// When the listener cannot accept any more.
-pub(crate) async fn accept(instance: Arc<Instance>, listener: TcpListener) -> std::io::Result<()> {
+pub(crate) async fn accept(host: Arc<impl Host>, listener: TcpListener) -> std::io::Result<()> {
     loop {
         let (stream, _) = listener.accept().await?;
-        async_std::task::spawn(serve(Arc::clone(&instance), stream));
+        async_std::task::spawn(serve(Arc::clone(&host), stream));
     }
 }
 
-async fn serve(instance: Arc<Instance>, stream: TcpStream) {
+async fn serve(host: Arc<impl Host>, stream: TcpStream) {
     stream.set_nodelay(true).ok();
     let handshake = server::Builder::new()
         .max_concurrent_streams(MOST_STREAMS)
@@ -67,7 +81,7 @@
         else {
             break;
         };
-        let handled = handle(Arc::clone(&instance), Arc::clone(&stage), req, respond);
+        let handled = handle(Arc::clone(&host), Arc::clone(&stage), req, respond);
         async_std::task::spawn(handled);
     }
     connection.graceful_shutdown();
@@ -78,7 +92,7 @@
 }
 
 async fn handle(
-    instance: Arc<Instance>,
+    host: Arc<impl Host>,
     stage: Connection,
     req: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
@@ -92,9 +106,9 @@
     };
     let handled = match peer::read(body, most).await {
         Ok(Some(body)) => match head.uri.path() {
-            HELLO_PATH => hello(&instance, &stage, &body),
-            PROOF_PATH => proof(&instance, &stage, &body),
-            ASK_PATH if opened => ask(&instance, &body),
+            HELLO_PATH => hello(&*host, &stage, &body),
+            PROOF_PATH => proof(&*host, &stage, &body),
+            ASK_PATH if opened => ask(&*host, &body).await,
             ASK_PATH => Err(StatusCode::UNAUTHORIZED),
             _ => Err(StatusCode::NOT_FOUND),
         },
@@ -102,7 +116,7 @@
         Err(_) => return,
     };
     if let Err(status) = handled {
-        instance.engine.metrics.members.refused_peer(status);
+        host.refused(status);
         *stage.lock() = Stage::Closed;
     }
     reply(handled, &mut respond);
@@ -120,7 +134,7 @@
     }
 }
 
-fn hello(instance: &Instance, stage: &Connection, body: &[u8]) -> Handled {
+fn hello(host: &impl Host, stage: &Connection, body: &[u8]) -> Handled {
     peer_wire::version(body).map_err(|error| status_of(&error))?;
     let hello: HelloWire =
         peer_wire::decode::<_, MOST_HELLO_BYTES>(body).map_err(|error| status_of(&error))?;
@@ -129,7 +143,7 @@
         client: hello.nonce,
         server: peer_auth::nonce(),
     };
-    let keys = instance.settings.peer_keys.iter().take(MOST_PROOFS);
+    let keys = host.peer_keys().iter().take(MOST_PROOFS);
     let challenge = ChallengeWire {
         version: PROTOCOL,
         nonce: transcript.server,
@@ -141,14 +155,14 @@
     peer_wire::encode(&challenge).map_err(|error| status_of(&error))
 }
 
-fn proof(instance: &Instance, stage: &Connection, body: &[u8]) -> Handled {
+fn proof(host: &impl Host, stage: &Connection, body: &[u8]) -> Handled {
     let wire: ProofWire =
         peer_wire::decode::<_, MOST_HELLO_BYTES>(body).map_err(|error| status_of(&error))?;
     let mut stage = stage.lock();
     let Stage::Challenged(transcript) = &*stage else {
         return Err(StatusCode::UNAUTHORIZED);
     };
-    let keys = &instance.settings.peer_keys;
+    let keys = host.peer_keys();
     if peer_auth::key_of(keys, Side::Client, transcript, &wire.proof).is_none() {
         return Err(StatusCode::UNAUTHORIZED);
     }
@@ -156,11 +170,11 @@
     Ok(Vec::new())
 }
 
-fn ask(instance: &Instance, body: &[u8]) -> Handled {
+async fn ask(host: &impl Host, body: &[u8]) -> Handled {
     let wire: AskWire =
         peer_wire::decode::<_, MOST_MESSAGE_BYTES>(body).map_err(|error| status_of(&error))?;
     let ask = Ask::try_from(wire).map_err(|error| status_of(&error))?;
-    let told = instance.tell(&ask);
+    let told = host.answer(ask).await;
     peer_wire::encode(&ToldWire::from(&told)).map_err(|error| status_of(&error))
 }
 
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -6,6 +6,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::fleet_wire::{FollowWire, NewsWire};
 use crate::process::{
     Ask, CellDelta, CellId, CellVersion, Heartbeat, HeartbeatReply, Member, Met, Object, ObjectKey,
     Told,
@@ -104,6 +105,7 @@
 pub(crate) enum AskWire {
     Heartbeat(Box<HeartbeatWire>),
     Fetch(Vec<String>),
+    Follow(Box<FollowWire>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,6 +113,7 @@
 pub(crate) enum ToldWire {
     Heartbeat(Box<ReplyWire>),
     Objects(Vec<ObjectWire>),
+    News(Box<NewsWire>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -241,6 +244,7 @@
         match ask {
             Ask::Heartbeat(beat) => Self::Heartbeat(Box::new(beat.as_ref().into())),
             Ask::Fetch(keys) => Self::Fetch(keys.iter().map(ToString::to_string).collect()),
+            Ask::Follow(follow) => Self::Follow(Box::new(follow.as_ref().into())),
         }
     }
 }
@@ -252,6 +256,7 @@
         Ok(match wire {
             AskWire::Heartbeat(beat) => Self::Heartbeat(Box::new((*beat).try_into()?)),
             AskWire::Fetch(keys) => Self::Fetch(keys.into_iter().map(ObjectKey::new).collect()),
+            AskWire::Follow(follow) => Self::Follow(Box::new((*follow).try_into()?)),
         })
     }
 }
@@ -298,6 +303,7 @@
                     .map(|object| ObjectWire::from(object.as_ref()))
                     .collect(),
             ),
+            Told::News(news) => Self::News(Box::new(news.as_ref().into())),
         }
     }
 }
@@ -314,6 +320,7 @@
                     .map(|object| Object::from(object).into())
                     .collect(),
             ),
+            ToldWire::News(news) => Self::News(Box::new((*news).try_into()?)),
         })
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -83,6 +83,8 @@
     StaleKey => ("stale-key", 409, MayHaveRun, false),
     /// The request is larger than the stated limit.
     TooLarge => ("too-large", 413, NotRun, false),
+    /// The head of the request is larger than the stated limit.
+    HeadTooLarge => ("head-too-large", 431, NotRun, false),
     /// Targets are unknown, out of range or contradict each other.
     BadTarget => ("bad-target", 422, NotRun, false),
     /// This request crashed upstreams before and is refused for a while.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 mod cmd;
 mod connection;
 mod error;
+mod platform;
 mod process;
 mod request;
 #[cfg(test)]
@@ -23,19 +24,21 @@
 };
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
 pub use process::{
-    Admission, Budgets, CallRates, Change, Changes, Choice, Entrant, Expected, Extra, HttpPlatform,
-    LegEnd, Limits, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, QueryEnd,
-    Seeking, Settings, SettingsError, Suspects, Ticket, Upstreams,
+    Admission, Allowances, Budgets, CallRates, Change, Changes, Choice, Entrant, Expected, Extra,
+    HttpPlatform, LegEnd, Limits, ListedInstance, Listing, Object, ObjectKey, Platform,
+    PlatformError, QueryEnd, RepeatTerms, Seeking, Settings, SettingsError, Suspects, Ticket,
+    Upstreams,
 };
 pub use request::{
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
+    ReplyHead, Terms,
 };
 pub use types::{
     ByteCount, CallerName, CellSeq, ChangeId, ChangeNumber, ClassName, ConfigVersion,
     ConnectionCount, Coverage, Epoch, FailureDomain, Fingerprint, IdempotencyKey, Incarnation,
     IndexName, InstanceName, KeyRange, LegId, ObjectVersion, OperatorKey, OperatorName, ParseError,
-    PeerKey, PerSecond, Position, QueryId, Ratio, Region, Revision, ShardId, SlotCount, SnapshotId,
-    Span, Timestamp, UnixSeconds, UpstreamName,
+    PeerKey, PerSecond, Position, QueryId, Ratio, Region, Revision, RouteName, ServiceName,
+    ShardId, SlotCount, SnapshotId, Span, Timestamp, UnixSeconds, UpstreamName,
 };
 pub use version::{
     ChangeWire, Class, ClassWire, ClassesWire, Directory, Index, IndexWire, Shard, ShardWire,
--- /dev/null
+++ b/src/platform/objects_tests.rs
@@ -0,0 +1,75 @@
+//! A configuration is taken whole or not at all, and an entry of another shape names no
+//! replica.
+
+use rstest::rstest;
+use serde_json::json;
+
+use super::Objects;
+use crate::process::{Meaning, ObjectKey, Stated};
+
+struct Case {
+    key: &'static str,
+    value: serde_json::Value,
+    wanted: Option<&'static str>,
+}
+
+fn server(change: impl Fn(&mut serde_json::Value)) -> serde_json::Value {
+    let mut value = json!({
+        "service": "shard", "address": "10.128.0.9:8080", "zone": "suva-a", "version": "v1",
+        "slots": 2, "state": "ready", "cold_remaining_ms": 0, "sequence": 4, "born": 17,
+    });
+    change(&mut value);
+    value
+}
+
+fn config(change: impl Fn(&mut serde_json::Value)) -> serde_json::Value {
+    let mut value = json!({
+        "version": 7,
+        "routes": [{
+            "name": "r", "host": "a.example", "path_prefix": "/a/", "route_type": "safe",
+            "timeout_ms": 800, "target_latency_ms": 100, "priority": 2, "gather": ["s", "t"],
+            "max_attempts": 2, "top_k": 5, "min_version": 0.75,
+        }],
+        "services": [{"name": "s", "health_path": "/h", "max_connections": 26, "protocol": "h1"}],
+        "limits": {
+            "max_header_bytes": 1, "max_body_bytes": 2, "header_timeout_ms": 3, "idle_timeout_ms": 4,
+        },
+    });
+    change(&mut value);
+    value
+}
+
+const A: &str = "servers/i-1";
+const MAIN: &str = "config/main";
+
+#[rstest]
+#[case::ready(Case { key: A, value: server(|_| {}), wanted: Some("i-1:17 stays") })]
+#[case::draining(Case { key: A, value: server(|it| it["state"] = json!("draining")), wanted: Some("i-1:17 leaves") })]
+#[case::without_birth(Case { key: A, value: server(|it| { it.as_object_mut().unwrap().remove("born"); }), wanted: Some("i-1:0 stays") })]
+#[case::new_field(Case { key: A, value: server(|it| it["more"] = json!([1])), wanted: Some("i-1:17 stays") })]
+#[case::unknown_state(Case { key: A, value: server(|it| it["state"] = json!("gone")), wanted: None })]
+#[case::no_service(Case { key: A, value: server(|it| { it.as_object_mut().unwrap().remove("service"); }), wanted: None })]
+#[case::slots_of_another_type(Case { key: A, value: server(|it| it["slots"] = json!("two")), wanted: None })]
+#[case::no_address(Case { key: A, value: server(|it| it["address"] = json!("nowhere")), wanted: None })]
+#[case::not_an_object(Case { key: A, value: json!(null), wanted: None })]
+#[case::another_kind(Case { key: "other/a", value: json!({}), wanted: None })]
+#[case::configuration(Case { key: MAIN, value: config(|_| {}), wanted: Some("version 7") })]
+#[case::route_to_two_kinds(Case { key: MAIN, value: config(|it| it["routes"][0]["service"] = json!("s")), wanted: None })]
+#[case::route_of_unknown_kind(Case { key: MAIN, value: config(|it| it["routes"][0]["route_type"] = json!("maybe")), wanted: None })]
+#[case::no_version(Case { key: MAIN, value: config(|it| { it.as_object_mut().unwrap().remove("version"); }), wanted: None })]
+fn read(#[case] case: Case) {
+    let value = serde_json::to_vec(&case.value).unwrap();
+    let read = Objects.read(&ObjectKey::new(case.key), &value).ok();
+    let shown = read.map(|stated| match stated {
+        Stated::Routes(table) => format!("version {}", table.version),
+        Stated::Replica(replica) => {
+            let goes = if replica.spec.leaving {
+                "leaves"
+            } else {
+                "stays"
+            };
+            format!("{} {goes}", replica.spec.name)
+        }
+    });
+    assert_eq!(shown.as_deref(), case.wanted);
+}
--- /dev/null
+++ b/src/platform/payload_tests.rs
@@ -0,0 +1,62 @@
+//! A replica gets the caller's request unchanged, but for what concerns one connection
+//! and what the instance states itself.
+
+use async_std::net::{TcpListener, TcpStream};
+use async_std::task::block_on;
+use futures::io::AsyncWriteExt;
+use rstest::rstest;
+
+use super::{Payload, encode};
+use crate::connection::{RequestHead, Wire};
+use crate::types::Span;
+
+fn parse(text: &'static str) -> RequestHead {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut sender = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        let (stream, _) = listener.accept().await.unwrap();
+        sender.write_all(text.as_bytes()).await.unwrap();
+        Wire::new(stream).request(4096).await.unwrap()
+    })
+}
+
+struct Case {
+    sent: &'static str,
+    body: &'static str,
+    wanted: &'static str,
+}
+
+#[rstest]
+#[case::plain(Case {
+    sent: "GET /a/2f?x=%2f HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 1\r\nDeadline-Ms: 900\r\n\r\n",
+    body: "",
+    wanted: "GET /a/2f?x=%2f HTTP/1.1\r\nHost: a.example\r\nRequest-Id: 1\r\nDeadline-Ms: 700\r\nExpect-Instance: i-1\r\n\r\n",
+})]
+#[case::hop_by_hop(Case {
+    sent: "GET /a HTTP/1.1\r\nConnection: keep-alive, X-Mine\r\nX-Mine: 1\r\nX-Other: 2\r\nKeep-Alive: timeout=5\r\n\r\n",
+    body: "",
+    wanted: "GET /a HTTP/1.1\r\nX-Other: 2\r\nDeadline-Ms: 700\r\nExpect-Instance: i-1\r\n\r\n",
+})]
+#[case::chunked_body(Case {
+    sent: "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n",
+    body: "plank",
+    wanted: "POST /a HTTP/1.1\r\nContent-Length: 5\r\nDeadline-Ms: 700\r\nExpect-Instance: i-1\r\n\r\nplank",
+})]
+#[case::empty_body(Case {
+    sent: "POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n",
+    body: "",
+    wanted: "POST /a HTTP/1.1\r\nContent-Length: 0\r\nDeadline-Ms: 700\r\nExpect-Instance: i-1\r\n\r\n",
+})]
+#[case::callers_own_expectation(Case {
+    sent: "GET /a HTTP/1.1\r\nExpect-Instance: i-9\r\n\r\n",
+    body: "",
+    wanted: "GET /a HTTP/1.1\r\nDeadline-Ms: 700\r\nExpect-Instance: i-1\r\n\r\n",
+})]
+fn passed_on(#[case] case: Case) {
+    let payload = encode(&parse(case.sent), "1", case.body.as_bytes()).unwrap();
+    let payload = Payload::decode(&payload).unwrap();
+    let sent = payload.render(&"i-1:17".parse().unwrap(), Span::from_millis(700));
+    assert_eq!(String::from_utf8(sent).unwrap(), case.wanted);
+}
--- /dev/null
+++ b/src/platform/store_wire.rs
@@ -0,0 +1,120 @@
+//! The bodies of the store's object API.
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::process::{Change, Changes, Listing, Object, ObjectKey, PlatformError};
+use crate::types::{ObjectVersion, Revision};
+
+/// A page of the objects of one kind.
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub(super) struct PageWire<'a> {
+    /// The objects; one that cannot be read hides no other.
+    #[serde(borrow, default)]
+    pub(super) items: Vec<&'a RawValue>,
+    /// Whether there are objects beyond the last one here.
+    #[serde(default)]
+    pub(super) more: bool,
+    /// The store's revision.
+    pub(super) current_rev: u64,
+}
+
+/// The changes that a watch saw.
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub(super) struct EventsWire<'a> {
+    #[serde(borrow, default)]
+    pub(super) events: Vec<EventWire<'a>>,
+    pub(super) current_rev: u64,
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub(super) struct EventWire<'a> {
+    #[serde(borrow)]
+    object: &'a RawValue,
+    #[serde(default)]
+    deleted: bool,
+}
+
+/// One object as it is read.
+#[derive(Debug)]
+#[derive(Deserialize)]
+pub(super) struct ObjectWire<'a> {
+    pub(super) meta: MetaWire,
+    /// What whoever made the object states.
+    #[serde(borrow, default)]
+    spec: Option<&'a RawValue>,
+}
+
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(super) struct MetaWire {
+    pub(super) name: String,
+    /// The store's revision at the object's last change; 0 in an object that is new.
+    #[serde(default)]
+    pub(super) revision: u64,
+}
+
+/// An object as it is written.
+#[derive(Debug)]
+#[derive(Serialize)]
+pub(super) struct WriteWire<'a> {
+    pub(super) meta: WriteMetaWire<'a>,
+    pub(super) spec: &'a RawValue,
+}
+
+#[derive(Debug)]
+#[derive(Serialize)]
+pub(super) struct WriteMetaWire<'a> {
+    pub(super) name: &'a str,
+    /// The write has no effect unless the object is at this revision.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub(super) revision: Option<u64>,
+}
+
+pub(super) fn protocol(error: impl std::fmt::Display) -> PlatformError {
+    PlatformError::Protocol(error.to_string())
+}
+
+/// Reads one object of a kind.
+///
+/// # Errors
+/// [`PlatformError::Protocol`] when it has no name or revision.
+pub(super) fn object(kind: &str, raw: &RawValue) -> Result<Object, PlatformError> {
+    let wire: ObjectWire<'_> = serde_json::from_str(raw.get()).map_err(protocol)?;
+    let value = wire.spec.map_or("null", RawValue::get);
+    Ok(Object {
+        key: ObjectKey::new(format!("{kind}/{}", wire.meta.name)),
+        version: ObjectVersion(wire.meta.revision),
+        value: value.as_bytes().to_vec(),
+    })
+}
+
+/// Adds a page to a listing; objects that cannot be read are left out with a line.
+pub(super) fn add_page(listing: &mut Listing, kind: &str, page: &PageWire<'_>) {
+    for raw in &page.items {
+        match object(kind, raw) {
+            Ok(object) => listing.objects.push(object),
+            Err(error) => tracing::warn!(kind, %error, "an object cannot be read"),
+        }
+    }
+}
+
+pub(super) fn changes(kind: &str, wire: &EventsWire<'_>) -> Changes {
+    let mut changes = Vec::with_capacity(wire.events.len());
+    for event in &wire.events {
+        match object(kind, event.object) {
+            Ok(object) => changes.push(Change {
+                key: object.key.clone(),
+                object: (!event.deleted).then_some(object),
+            }),
+            Err(error) => tracing::warn!(kind, %error, "a change cannot be read"),
+        }
+    }
+    Changes {
+        revision: Revision(wire.current_rev),
+        changes,
+    }
+}
--- a/src/process/budget.rs
+++ b/src/process/budget.rs
@@ -6,6 +6,7 @@
 //! "Extra load".
 
 use super::Table;
+use super::allowance::Allowances;
 use crate::types::ClassName;
 use crate::version::Class;
 
@@ -30,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Budgets {
     by_class: Table<ClassName, Tokens>,
+    /// The repeats that services bear, where operators state them for each service.
+    pub services: Allowances,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/src/process/exchange.rs
+++ b/src/process/exchange.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::cells::{CellId, CellVersion, Member};
+use super::fleet::{Follow, News};
 use super::{Object, ObjectKey};
 use crate::types::{
     ConfigVersion, Epoch, Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span,
@@ -88,6 +89,8 @@
     Heartbeat(Box<Heartbeat>),
     /// The values of these objects.
     Fetch(Vec<ObjectKey>),
+    /// What the asker lacks, as soon as there is something.
+    Follow(Box<Follow>),
 }
 
 /// The reply to an [`Ask`].
@@ -97,4 +100,6 @@
     Heartbeat(Box<HeartbeatReply>),
     /// As many of the objects as fit in a message, in the order they were asked for.
     Objects(Vec<Arc<Object>>),
+    /// To a follower.
+    News(Box<News>),
 }
--- /dev/null
+++ b/src/process/fleet/addresses_tests.rs
@@ -0,0 +1,71 @@
+//! Callers are sent near, to machines that can carry a query to many shards, and never to
+//! one alone while there is another.
+
+use rstest::rstest;
+
+use super::{Place, choose};
+use crate::process::cells::{Member, MemberState};
+use crate::process::fleet::Presence;
+use crate::types::Incarnation;
+
+/// An instance as `domain/region/capacity/state`.
+fn presence(at: u8, text: &str) -> Presence {
+    let parts: Vec<&str> = text.split('/').collect();
+    Presence {
+        member: Member {
+            name: format!("n{at}").parse().unwrap(),
+            incarnation: Incarnation(1),
+            addr: ([10, 0, 0, at], 1).into(),
+            peer_addr: ([10, 0, 0, at], 2).into(),
+            failure_domain: parts[0].parse().unwrap(),
+            region: parts[1].parse().unwrap(),
+            state: parts[3].parse::<MemberState>().unwrap(),
+        },
+        seq: 1,
+        capacity: parts[2].parse().unwrap(),
+    }
+}
+
+struct Case {
+    instances: &'static [&'static str],
+    wanted: &'static [u8],
+}
+
+#[rstest]
+#[case::own_failure_domain(Case {
+    instances: &["a/c/250/live", "a/c/250/live", "b/c/250/live", "d/w/250/live"], wanted: &[0, 1],
+})]
+#[case::own_region_when_one_is_left(Case {
+    instances: &["a/c/250/live", "a/c/250/gone", "b/c/250/live", "d/w/250/live"], wanted: &[0, 2],
+})]
+#[case::all_when_the_region_is_lost(Case {
+    instances: &["d/w/250/live", "e/n/250/live"], wanted: &[0, 1],
+})]
+#[case::large_machines(Case {
+    instances: &["a/c/500/live", "a/c/500/live", "a/c/120/live", "a/c/120/live"], wanted: &[0, 1],
+})]
+#[case::small_machines_when_no_large_one_is_left(Case {
+    instances: &["a/c/500/gone", "a/c/120/live", "a/c/120/live"], wanted: &[1, 2],
+})]
+#[case::none_that_leaves_or_joins(Case {
+    instances: &["a/c/250/leaving", "a/c/250/joining", "a/c/250/live", "a/c/250/live"], wanted: &[2, 3],
+})]
+#[case::the_only_one(Case { instances: &["d/w/250/live"], wanted: &[0] })]
+#[case::nobody(Case { instances: &[], wanted: &[] })]
+fn addresses(#[case] case: Case) {
+    let instances: Vec<Presence> = (0..)
+        .zip(case.instances)
+        .map(|(at, text)| presence(at, text))
+        .collect();
+    let place = Place {
+        failure_domain: Some("a".parse().unwrap()),
+        region: Some("c".parse().unwrap()),
+    };
+    let chosen = choose(instances.iter(), &place);
+    let wanted: Vec<_> = case
+        .wanted
+        .iter()
+        .map(|at| ([10, 0, 0, *at], 1).into())
+        .collect();
+    assert_eq!(chosen, wanted);
+}
--- /dev/null
+++ b/src/process/fleet/members.rs
@@ -0,0 +1,262 @@
+//! Who is there, and whom this instance follows.
+//!
+//! Each instance follows another one: the first of its failure domain by address follows
+//! the first of all, the others of the domain follow it, and the first of all reads the
+//! store. Nobody is elected: two instances that both read the store for a while only cost
+//! calls. An instance that is silent, or whose news are old, is shunned for a while, and
+//! whoever followed it goes on to the next.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use crate::process::cells::{Member, MemberState};
+use crate::types::{Incarnation, InstanceName, Position, Span, Timestamp};
+
+/// A follower asks again within half a second, so one that does not for this long is gone.
+const SILENT_AFTER: Span = Span::from_millis(1_500);
+/// For so long nobody is asked again who was silent or had old news.
+const SHUNNED_FOR: Span = Span::from_secs(3);
+/// An instance says anew that it is there after this time.
+const REFRESH_AFTER: Span = Span::from_secs(10);
+/// One that did not, although it had two chances, is gone.
+const FORGOTTEN_AFTER: Span = Span::from_secs(25);
+
+/// One instance, as it or somebody who watched it says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Presence {
+    pub(crate) member: Member,
+    /// Orders what is said of one process.
+    pub(crate) seq: u64,
+    /// Its share of a core, in thousandths.
+    pub(crate) capacity: u32,
+}
+
+/// Where an instance's news come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Parent {
+    /// From the platform's store itself.
+    Store,
+    /// From the instance at this address.
+    Instance(SocketAddr),
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    presence: Presence,
+    at: Position,
+    learnt: Timestamp,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Child {
+    heard: Timestamp,
+    seq: u64,
+}
+
+/// The instances as this one knows them.
+#[derive(Clone, Debug)]
+pub(crate) struct Fleet {
+    me: Presence,
+    said: Timestamp,
+    known: IndexMap<InstanceName, Known>,
+    end: Position,
+    children: IndexMap<InstanceName, Child>,
+    shunned: IndexMap<SocketAddr, Timestamp>,
+    store_shunned: Timestamp,
+}
+
+impl Fleet {
+    pub(crate) fn new(now: Timestamp, me: Presence) -> Self {
+        let mut fleet = Self {
+            me: me.clone(),
+            said: now,
+            known: IndexMap::new(),
+            end: Position(0),
+            children: IndexMap::new(),
+            shunned: IndexMap::new(),
+            store_shunned: Timestamp::default(),
+        };
+        fleet.learn(now, me);
+        fleet
+    }
+
+    pub(crate) fn me(&self) -> &Presence {
+        &self.me
+    }
+
+    /// The position of the latest change.
+    pub(crate) fn end(&self) -> Position {
+        self.end
+    }
+
+    /// Says what this instance is ready for.
+    pub(crate) fn set_state(&mut self, now: Timestamp, state: MemberState) {
+        if self.me.member.state != state {
+            self.me.member.state = state;
+            self.say(now);
+        }
+    }
+
+    /// Takes what is said of an instance; true when it is news.
+    pub(crate) fn learn(&mut self, now: Timestamp, presence: Presence) -> bool {
+        let name = presence.member.name.clone();
+        if name == self.me.member.name && order(&presence) > order(&self.me) {
+            self.contradict(now, &presence);
+            return true;
+        }
+        let known = self.known.get(&name);
+        if known.is_some_and(|known| order(&presence) <= order(&known.presence)) {
+            return false;
+        }
+        self.end = Position(self.end.0 + 1);
+        let known = Known {
+            presence,
+            at: self.end,
+            learnt: now,
+        };
+        self.known.insert(name, known);
+        true
+    }
+
+    /// Notes that an instance follows this one.
+    pub(crate) fn hear(&mut self, now: Timestamp, follower: Presence) {
+        let name = follower.member.name.clone();
+        let seq = follower.seq;
+        self.shunned.swap_remove(&follower.member.peer_addr);
+        self.children.insert(name, Child { heard: now, seq });
+        self.learn(now, follower);
+    }
+
+    /// Notes that an instance did not answer.
+    pub(crate) fn lose(&mut self, now: Timestamp, addr: SocketAddr) {
+        self.shun(now, addr);
+        let known = self.known.values().map(|known| &known.presence);
+        let silent = known
+            .filter(|presence| presence.member.peer_addr == addr)
+            .find(|presence| presence.member.state != MemberState::Gone)
+            .cloned();
+        if let Some(silent) = silent {
+            self.learn(now, gone(silent));
+        }
+    }
+
+    /// Leaves an instance alone whose news are old, and goes on to the next.
+    pub(crate) fn shun(&mut self, now: Timestamp, addr: SocketAddr) {
+        self.shunned.insert(addr, now + SHUNNED_FOR);
+        // What the former parent says of this instance is older from here on.
+        self.say(now);
+    }
+
+    /// Notes that the store does not answer this instance.
+    pub(crate) fn shun_store(&mut self, now: Timestamp) {
+        self.store_shunned = now + SHUNNED_FOR;
+    }
+
+    /// Lets time pass: followers that fell silent are gone, and so is whoever was not
+    /// heard of for long.
+    pub(crate) fn pass(&mut self, now: Timestamp) {
+        self.shunned.retain(|_, until| *until > now);
+        if now.since(self.said) >= REFRESH_AFTER {
+            self.say(now);
+        }
+        let mut lost = Vec::new();
+        self.children.retain(|name, child| {
+            let stays = now.since(child.heard) < SILENT_AFTER;
+            if !stays {
+                lost.push((name.clone(), child.seq));
+            }
+            stays
+        });
+        for (name, seq) in lost {
+            let known = self.known.get(&name).map(|known| known.presence.clone());
+            if let Some(presence) = known.filter(|presence| presence.seq == seq) {
+                self.learn(now, gone(presence));
+            }
+        }
+        let forgotten: Vec<Presence> = self
+            .others()
+            .filter(|known| known.presence.member.state != MemberState::Gone)
+            .filter(|known| now.since(known.learnt) >= FORGOTTEN_AFTER)
+            .map(|known| known.presence.clone())
+            .collect();
+        for presence in forgotten {
+            self.learn(now, gone(presence));
+        }
+    }
+
+    /// Whom to follow now.
+    pub(crate) fn parent(&self, now: Timestamp) -> Parent {
+        let me = &self.me.member;
+        let reads_store = now >= self.store_shunned;
+        let usable = |member: &&Member| {
+            let is_me = member.name == me.name;
+            let shunned = self.shunned.get(&member.peer_addr);
+            let stays = member.state != MemberState::Leaving;
+            is_me || (stays && shunned.is_none_or(|until| *until <= now))
+        };
+        let first = |domain_only: bool| {
+            self.present()
+                .map(|presence| &presence.member)
+                .filter(usable)
+                .filter(|member| !domain_only || member.failure_domain == me.failure_domain)
+                .filter(|member| reads_store || member.name != me.name)
+                .min_by_key(|member| member.peer_addr)
+        };
+        let head = first(true).filter(|head| head.name != me.name);
+        match head.or_else(|| first(false)) {
+            Some(other) if other.name != me.name => Parent::Instance(other.peer_addr),
+            _ => Parent::Store,
+        }
+    }
+
+    /// The instances that are there, this one included.
+    pub(crate) fn present(&self) -> impl Iterator<Item = &Presence> {
+        self.known
+            .values()
+            .map(|known| &known.presence)
+            .filter(|presence| presence.member.state != MemberState::Gone)
+    }
+
+    /// Whether an instance at this address was ever heard of.
+    pub(crate) fn knows(&self, addr: SocketAddr) -> bool {
+        let mut known = self.known.values();
+        known.any(|known| known.presence.member.peer_addr == addr)
+    }
+
+    /// What was learned after a position, and the position it reaches.
+    pub(crate) fn since(&self, from: Position) -> (Vec<Presence>, Position) {
+        let news = self.known.values().filter(|known| known.at > from);
+        (news.map(|known| known.presence.clone()).collect(), self.end)
+    }
+
+    fn others(&self) -> impl Iterator<Item = &Known> {
+        let me = &self.me.member.name;
+        let known = self.known.iter().filter(move |(name, _)| *name != me);
+        known.map(|(_, known)| known)
+    }
+
+    /// Somebody believes something later than what this instance says of itself, because
+    /// it was silent for a while, or because the clock went back before it started.
+    fn contradict(&mut self, now: Timestamp, said: &Presence) {
+        self.me.member.incarnation = said.member.incarnation.max(self.me.member.incarnation);
+        self.me.seq = self.me.seq.max(said.seq);
+        self.say(now);
+    }
+
+    fn say(&mut self, now: Timestamp) {
+        self.me.seq += 1;
+        self.said = now;
+        self.learn(now, self.me.clone());
+    }
+}
+
+fn gone(mut presence: Presence) -> Presence {
+    presence.member.state = MemberState::Gone;
+    presence
+}
+
+fn order(presence: &Presence) -> (Incarnation, u64, MemberState) {
+    let member = &presence.member;
+    (member.incarnation, presence.seq, member.state)
+}
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -12,8 +12,11 @@
 use super::lead::{self, Duties};
 use super::members::Role;
 use super::{Instance, Object, ObjectKey};
+use crate::connection::Host;
 use crate::error::{ErrorKind, Refusal};
-use crate::types::{InstanceName, Span};
+use crate::types::{InstanceName, PeerKey, Span};
+use futures::future::BoxFuture;
+use http::StatusCode;
 
 const MOST_FETCHED: usize = 64;
 const MOST_FETCHED_BYTES: usize = 3 << 20;
@@ -137,7 +140,7 @@
             members.on_reply(sent, now, &reply);
             Some(*reply)
         }
-        Ok(Told::Objects(_)) => None,
+        Ok(Told::Objects(_) | Told::News(_)) => None,
         Err(error) => {
             tracing::debug!(%error, %addr, "an instance did not reply to a heartbeat");
             instance.engine.metrics.members.heartbeat_failed();
@@ -217,10 +220,26 @@
             Ask::Fetch(keys) => {
                 Told::Objects(bounded(keys.iter().filter_map(|key| members.object(key))))
             }
+            // Nobody follows an instance that has a cell.
+            Ask::Follow(_) => Told::Objects(Vec::new()),
         }
     }
 }
 
+impl Host for Instance {
+    fn peer_keys(&self) -> &[PeerKey] {
+        &self.settings.peer_keys
+    }
+
+    fn refused(&self, status: StatusCode) {
+        self.engine.metrics.members.refused_peer(status);
+    }
+
+    fn answer(&self, ask: Ask) -> BoxFuture<'_, Told> {
+        Box::pin(async move { self.tell(&ask) })
+    }
+}
+
 fn bounded(objects: impl Iterator<Item = Arc<Object>>) -> Vec<Arc<Object>> {
     let mut bytes = 0;
     objects
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -22,6 +22,22 @@
     Admission,
     /// The instances, their cells, and what peers are told.
     Members,
+    /// The instances as a follower knows them.
+    Fleet,
+    /// How many instances the limits are divided among.
+    Share,
+    /// The instances that the platform's objects come through.
+    Via,
+    /// The platform's objects.
+    Book,
+    /// The replicas that the platform lists.
+    Roster,
+    /// The configuration joined with the replicas.
+    Catalog,
+    /// The longest time that callers gave each route.
+    Longest,
+    /// Who waits for something to be learned.
+    Waiting,
     /// The queries under way, by id.
     Queries,
     /// One query.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -4,10 +4,12 @@
 mod addresses;
 mod admission;
 mod admitted;
+mod allowance;
 mod audit;
 mod audit_rows;
 mod audit_wire;
 mod budget;
+mod catalog;
 mod cell_table;
 mod cell_wire;
 mod cells;
@@ -16,6 +18,7 @@
 mod dispatch;
 mod engine;
 mod exchange;
+mod fleet;
 mod follow;
 mod gate;
 mod heartbeat;
@@ -69,6 +72,7 @@
 mod shutdown_tests;
 
 pub use admission::{Admission, Entrant, QueryEnd, Ticket};
+pub use allowance::{Allowances, RepeatTerms};
 pub use budget::{Budgets, Extra};
 pub use limits::Limits;
 pub use platform::{
@@ -81,14 +85,17 @@
 
 pub(crate) use addresses::{Near, choose as choose_addresses};
 pub(crate) use audit_rows::RefusedChange;
-#[cfg(test)]
-pub(crate) use cells::MemberState;
-pub(crate) use cells::{CellId, CellVersion, Member, Summary};
+pub(crate) use catalog::{Catalog, Plan, Replicas};
+pub(crate) use cells::{CellId, CellVersion, Member, MemberState, Summary};
 pub(crate) use clock::Clock;
 pub(crate) use config::{Accepted, Config, Proposal, Seen, Trail, TrailQuery, Wish};
 pub(crate) use dispatch::Job;
 pub(crate) use engine::{Carrier, Engine, Workers};
 pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
+pub(crate) use fleet::{
+    Answered, Entry, EntryState, Follow, Meaning, News, Node, NodeSettings, Place, Presence,
+    ReplicaEntry, RouteRequest, Stated,
+};
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
 #[cfg(test)]
@@ -96,7 +103,7 @@
 pub(crate) use members::{Readiness, Role};
 pub(crate) use metrics::Metrics;
 pub(crate) use platform::Backoff;
-pub(crate) use shutdown::Step;
+pub(crate) use shutdown::{Shutdown, Step, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstreams::ClassLatency;
 pub(crate) use upstreams::UpstreamLoad;
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -29,6 +29,8 @@
 pub(super) struct Observed {
     pub(super) in_flight: u32,
     pub(super) last_used: Timestamp,
+    /// Whether the platform took it back after it was listed.
+    pub(super) withdrawn: bool,
     mean_micros: f64,
     learnt: Timestamp,
     ramp_from: Option<Timestamp>,
@@ -59,6 +61,7 @@
         Self {
             in_flight: 0,
             last_used: now,
+            withdrawn: false,
             mean_micros: guess_micros,
             learnt: now,
             ramp_from: cold.then_some(now),
@@ -88,7 +91,7 @@
 
     /// Whether it must not be sent a leg of this snapshot, even as the last resort.
     pub(super) fn is_closed(&self, now: Timestamp, snapshot: SnapshotId) -> bool {
-        now < self.drained_until || self.lost(now, snapshot)
+        self.withdrawn || now < self.drained_until || self.lost(now, snapshot)
     }
 
     /// Whether it said that it does not hold the snapshot. That says nothing of others:
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -12,6 +12,8 @@
 
 const INCIDENTS_OF_POISON: u32 = 2;
 const MOST_SUSPECTS: usize = 4_096;
+/// How many requests that are refused are told to another instance at a time.
+const MOST_TOLD: usize = 64;
 /// How long an incident is remembered.
 pub(super) const REMEMBERED_FOR: Span = Span::from_secs(600);
 
@@ -104,6 +106,29 @@
         self.shared = known;
     }
 
+    /// The requests that are refused, for other instances to refuse as well.
+    pub(crate) fn condemned(&self, now: Timestamp) -> Vec<Fingerprint> {
+        let requests = self.marks.keys().copied();
+        requests
+            .filter(|request| self.is_poison(now, *request))
+            .take(MOST_TOLD)
+            .collect()
+    }
+
+    /// Refuses a request that crashed upstreams elsewhere. What is known here of the
+    /// request stands: a mark that is told in circles would never grow old.
+    pub(crate) fn condemn(&mut self, now: Timestamp, request: Fingerprint) {
+        if !self.is_poison(now, request) {
+            self.learn(
+                now,
+                SharedMark {
+                    request,
+                    incidents: INCIDENTS_OF_POISON,
+                },
+            );
+        }
+    }
+
     /// Takes what others have not been told: the marks as they are now, and the requests
     /// that were cleared.
     pub(crate) fn take_news(&mut self) -> (Vec<SharedMark>, Vec<Fingerprint>) {
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -11,7 +11,7 @@
 use super::held::Held;
 use super::latency::Latency;
 use super::observed::{Observed, Readiness, micros};
-use super::{Limits, Table};
+use super::{Limits, Replicas, Table};
 use crate::request::LegFailure;
 use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
 use crate::version::{Snapshot, UpstreamSpec};
@@ -122,6 +122,21 @@
         usable.pick(rng).unwrap_or(Choice::Nobody { gone })
     }
 
+    /// Sends no more legs to replicas that were taken back, also not for queries that
+    /// began before; those that are listed and stay are used again.
+    pub(crate) fn withdraw(&mut self, withdrawn: &[UpstreamName], listed: &Replicas) {
+        for name in withdrawn {
+            if let Some(seen) = self.by_name.get_mut(name) {
+                seen.withdrawn = true;
+            }
+        }
+        for spec in listed.values().flatten().filter(|spec| !spec.leaving) {
+            if let Some(seen) = self.by_name.get_mut(&spec.name) {
+                seen.withdrawn = false;
+            }
+        }
+    }
+
     /// Notes that a leg was sent.
     pub fn begin(&mut self, now: Timestamp, spec: &UpstreamSpec) {
         self.observed(now, spec).begin(now);
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -1,5 +1,6 @@
 //! The answer to one request.
 
+use super::ReplyHead;
 use crate::types::{Coverage, KeyRange, QueryId, ShardId, SnapshotId, Span};
 
 /// What a caller gets: parts of one snapshot, and which keys they cover.
@@ -28,6 +29,15 @@
     pub shard: ShardId,
     /// The keys that shard holds.
     pub range: KeyRange,
+    /// What the upstream stated beside it.
+    pub head: Option<Box<ReplyHead>>,
     /// The upstream's reply, passed on unread.
     pub body: Vec<u8>,
 }
+
+impl Part {
+    /// Whether the upstream did what it was asked, as far as it says.
+    pub(crate) fn is_success(&self) -> bool {
+        self.head.as_ref().is_none_or(|head| head.is_success())
+    }
+}
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -31,7 +31,7 @@
             return after;
         }
         let class = cx.upstreams.class(&self.class.name);
-        let left = self.deadline.since(cx.now);
+        let left = self.worthwhile_until(cx.now).since(cx.now);
         let after = hedge::hedge_after(class, self.class.targets.extra_load, left);
         self.hedge_plan = Some((cx.now, after));
         after
@@ -48,7 +48,7 @@
         let Some(age) = self.age_of_only_leg(cx, shard_at) else {
             return;
         };
-        if !self.can_finish(cx) || !self.shards[shard_at].has_legs_left() {
+        if !self.can_finish(cx) || !self.shards[shard_at].has_legs_left(&self.terms) {
             return;
         }
         let chosen = if self.may_hedge() {
@@ -57,7 +57,7 @@
             Choice::RoomAt(cx.now)
         };
         match chosen {
-            Choice::Replica(replica_at) if cx.budgets.take(&self.class, Extra::Hedge) => {
+            Choice::Replica(replica_at) if self.take_extra(cx, shard_at, Extra::Hedge) => {
                 self.send(cx, shard_at, replica_at, Some(Extra::Hedge), actions);
             }
             Choice::RoomAt(at) if at > cx.now => self.wake_shard_at(shard_at, at),
--- a/src/request/harness_tests.rs
+++ b/src/request/harness_tests.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 
-use super::{Action, Answer, Context, Event, LegFailure, LegReply, LegRequest, Query};
+use super::{Action, Answer, Context, Event, LegFailure, LegReply, LegRequest, Query, Terms};
 use crate::error::Refusal;
 use crate::process::{Budgets, Limits, Suspects, Upstreams};
 use crate::types::{
@@ -60,6 +60,7 @@
         let shards = (0..self.shards)
             .map(|at| Shard {
                 id: ShardId(at),
+                service: None,
                 range: KeyRange {
                     first: u32::try_from(edge(at)).unwrap(),
                     last: u32::try_from(edge(at + 1) - 1).unwrap(),
@@ -132,6 +133,14 @@
         bench
     }
 
+    /// A query under other terms, started.
+    pub(super) fn with_terms(setup: Setup, terms: Terms) -> Self {
+        let mut bench = Self::new(setup);
+        bench.query = query(&setup, bench.now).with_terms(terms);
+        bench.step(None);
+        bench
+    }
+
     /// Starts another query over the same tables.
     pub(super) fn next_query(&mut self) {
         self.query = query(&self.setup, self.now);
@@ -188,6 +197,7 @@
             leg: leg.leg,
             snapshot: leg.snapshot,
             range: leg.range,
+            head: None,
             body: format!("{} {}", leg.snapshot, leg.range).into_bytes(),
         }
     }
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use crate::error::Ran;
+use crate::process::Extra;
 use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, Timestamp};
 use crate::version::UpstreamSpec;
 
@@ -39,10 +40,31 @@
     pub snapshot: SnapshotId,
     /// The keys it says it searched.
     pub range: KeyRange,
+    /// What came with it, where the upstream's protocol says more than the body.
+    pub head: Option<Box<ReplyHead>>,
     /// The reply itself.
     pub body: Vec<u8>,
 }
 
+/// What an upstream states beside the body of its reply; only front ends read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReplyHead {
+    /// The status of the reply.
+    pub status: u16,
+    /// The upstream's proof that it made this reply.
+    pub proof: Option<String>,
+    /// The fields that are passed on to the caller.
+    pub fields: Vec<(String, Vec<u8>)>,
+}
+
+impl ReplyHead {
+    /// Whether the upstream says that it did what it was asked.
+    #[must_use]
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.status)
+    }
+}
+
 /// Why a leg has no reply.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum LegFailure {
@@ -116,4 +138,5 @@
     pub(super) replica_at: usize,
     pub(super) sent: Timestamp,
     pub(super) open: bool,
+    pub(super) extra: Option<Extra>,
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -10,11 +10,13 @@
 mod extra;
 mod hedge;
 mod leg;
+mod merge;
 mod outcome;
 mod query;
 mod restart;
 mod send;
 mod shard;
+mod terms;
 
 #[cfg(test)]
 mod crash_tests;
@@ -34,8 +36,11 @@
 mod world_tests;
 
 pub use answer::{Answer, Part};
-pub use leg::{LegFailure, LegReply, LegRequest};
+pub use leg::{LegFailure, LegReply, LegRequest, ReplyHead};
 pub use query::{Action, Context, Event, Query};
+pub use terms::Terms;
+
+pub(crate) use merge::greatest;
 
 use std::sync::Arc;
 
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -21,6 +21,9 @@
         {
             best = previous;
         }
+        if best.parts.is_empty() {
+            best.parts.extend(self.failure.take());
+        }
         if best.parts.is_empty() {
             return Err(self.refusal(cx));
         }
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -9,9 +9,9 @@
 use super::leg::Leg;
 use super::restart::Previous;
 use super::shard::{Phase, ShardState};
-use super::{Answer, LegFailure, LegReply, LegRequest, admit};
+use super::{Answer, LegFailure, LegReply, LegRequest, Part, Terms, admit};
 use crate::error::{Ran, Refusal};
-use crate::process::{Budgets, Extra, LegEnd, Limits, Suspects, Upstreams};
+use crate::process::{Budgets, LegEnd, Limits, Suspects, Upstreams};
 use crate::types::{Fingerprint, IndexName, LegId, QueryId, SnapshotId, Span, Timestamp};
 use crate::version::{Class, Snapshot};
 
@@ -65,6 +65,7 @@
 pub struct Query {
     pub(super) id: QueryId,
     pub(super) fingerprint: Fingerprint,
+    pub(super) terms: Terms,
     pub(super) class: Arc<Class>,
     pub(super) snapshot: Arc<Snapshot>,
     pub(super) body: Arc<[u8]>,
@@ -92,6 +93,8 @@
     pub(super) previous: Option<Previous>,
     /// The snapshots that it has left because they are not held any more or not yet.
     pub(super) left_snapshots: Vec<SnapshotId>,
+    /// An upstream's own failure, which the caller gets when nothing better comes.
+    pub(super) failure: Option<Part>,
     finished: bool,
 }
 
@@ -113,6 +116,7 @@
         Self {
             id,
             fingerprint: Fingerprint::of(&class.name, &body),
+            terms: Terms::default(),
             class,
             snapshot,
             body,
@@ -132,10 +136,19 @@
             hedge_plan: None,
             previous: None,
             left_snapshots: Vec::new(),
+            failure: None,
             finished: false,
         }
     }
 
+    /// The same query under other terms; call it before [`Query::start`].
+    #[must_use]
+    pub fn with_terms(mut self, terms: Terms) -> Self {
+        self.fingerprint = terms.fingerprint.unwrap_or(self.fingerprint);
+        self.terms = terms;
+        self
+    }
+
     /// Its id.
     #[must_use]
     pub fn id(&self) -> QueryId {
@@ -160,6 +173,8 @@
         }
         self.prefer_held_snapshot(cx);
         cx.budgets.widen(&self.class, self.shards.len());
+        self.note_request(cx);
+        self.plan_early_answer();
         self.send_first_legs(cx, &mut actions);
         self.settle(cx, &mut actions);
         actions
@@ -212,10 +227,15 @@
             self.on_failure(cx, id, LegFailure::Mangled, actions);
             return;
         }
+        if reply.head.as_ref().is_some_and(|head| !head.is_success()) {
+            self.keep_failure(leg.shard_at, reply);
+            self.on_failure(cx, id, LegFailure::Failed, actions);
+            return;
+        }
         self.end_leg(cx, id, LegEnd::Replied);
         cx.suspects.replied(cx.now, self.fingerprint);
         self.cancel_legs_of(cx, leg.shard_at, actions);
-        self.shards[leg.shard_at].phase = Phase::Replied(reply.body);
+        self.shards[leg.shard_at].phase = Phase::Replied(reply.head, reply.body);
         self.unsettled -= 1;
         self.replied += 1;
         if self.crashes.on_reply() {
@@ -239,17 +259,17 @@
         if matches!(failure, LegFailure::Shed | LegFailure::NoShare) {
             self.shards[leg.shard_at].forget(leg.replica_at);
         }
+        if failure.ran() == Ran::NotRun {
+            self.shards[leg.shard_at].not_run += 1;
+        }
         let other_leg = self.shards[leg.shard_at].open_legs().next().is_some();
         if other_leg {
             return;
         }
-        let extra = match failure.ran() {
-            Ran::NotRun => Extra::Move,
-            Ran::MayHaveRun => Extra::Retry,
-        };
-        let allowed = self.class.targets.repeatable || extra == Extra::Move;
-        if allowed && self.shards[leg.shard_at].has_legs_left() {
-            self.attempt(cx, leg.shard_at, Some(extra), actions);
+        let allowed = self.class.targets.repeatable || failure.ran() == Ran::NotRun;
+        if allowed && self.shards[leg.shard_at].has_legs_left(&self.terms) {
+            let extra = self.extra_after(leg, failure);
+            self.attempt(cx, leg.shard_at, extra, actions);
         } else {
             self.give_up(leg.shard_at);
         }
@@ -260,7 +280,9 @@
             return;
         }
         while let Some((at, shard_at)) = self.due.pop(cx.now) {
-            let shard = &mut self.shards[shard_at];
+            let Some(shard) = self.shards.get_mut(shard_at) else {
+                continue;
+            };
             if shard.due != Some(at) {
                 continue;
             }
@@ -268,7 +290,7 @@
             match shard.phase {
                 Phase::Waiting(extra, _) => self.attempt(cx, shard_at, extra, actions),
                 Phase::UnderWay => self.hedge(cx, shard_at, actions),
-                Phase::New | Phase::Held(_) | Phase::Replied(_) | Phase::GivenUp => {}
+                Phase::New | Phase::Held(_) | Phase::Replied(..) | Phase::GivenUp => {}
             }
         }
     }
@@ -282,7 +304,7 @@
         if self.open_legs == 0 && !self.held.is_empty() {
             self.probe_held(cx, actions);
         }
-        if self.unsettled == 0 || cx.now >= self.deadline {
+        if self.unsettled == 0 || cx.now >= self.deadline || self.answers_early(cx.now) {
             let outcome = self.outcome(cx);
             self.finish(cx, Some(outcome), actions);
             return;
--- a/src/request/restart.rs
+++ b/src/request/restart.rs
@@ -110,10 +110,11 @@
     pub(super) fn take_parts(&mut self) -> Vec<Part> {
         let mut parts = Vec::with_capacity(self.replied);
         for (state, shard) in self.shards.iter_mut().zip(&self.snapshot.shards) {
-            if let Phase::Replied(body) = &mut state.phase {
+            if let Phase::Replied(head, body) = &mut state.phase {
                 parts.push(Part {
                     shard: shard.id,
                     range: shard.range,
+                    head: head.take(),
                     body: std::mem::take(body),
                 });
             }
--- a/src/request/send.rs
+++ b/src/request/send.rs
@@ -5,7 +5,7 @@
 use super::hedge;
 use super::leg::Leg;
 use super::shard::Phase;
-use super::{Action, Context, LegRequest, Query};
+use super::{Action, Context, LegFailure, LegRequest, Query};
 use crate::error::Ran;
 use crate::process::{Choice, Extra, LegEnd, Seeking};
 use crate::types::{LegId, Timestamp};
@@ -36,7 +36,7 @@
     ) {
         match self.choose(cx, shard_at) {
             Choice::Replica(replica_at) => {
-                if extra.is_none_or(|extra| self.pay(cx, extra)) {
+                if extra.is_none_or(|extra| self.pay(cx, shard_at, extra)) {
                     self.send(cx, shard_at, replica_at, extra, actions);
                 } else {
                     self.give_up(shard_at);
@@ -50,8 +50,38 @@
         }
     }
 
-    fn pay(&self, cx: &mut Context<'_>, extra: Extra) -> bool {
-        self.can_finish(cx) && cx.budgets.take(&self.class, extra)
+    fn pay(&self, cx: &mut Context<'_>, shard_at: usize, extra: Extra) -> bool {
+        self.can_finish(cx) && self.take_extra(cx, shard_at, extra)
+    }
+
+    /// Takes one leg beyond the first from what the shard's service, or else the class,
+    /// may still be sent.
+    pub(super) fn take_extra(&self, cx: &mut Context<'_>, shard_at: usize, extra: Extra) -> bool {
+        match &self.snapshot.shards[shard_at].service {
+            Some(service) => cx.budgets.services.take(cx.now, service, extra),
+            None => cx.budgets.take(&self.class, extra),
+        }
+    }
+
+    /// Notes the request at every service that it goes to.
+    pub(super) fn note_request(&self, cx: &mut Context<'_>) {
+        for shard in &self.snapshot.shards {
+            if let Some(service) = &shard.service {
+                cx.budgets.services.request(cx.now, service);
+            }
+        }
+    }
+
+    /// What the leg after a failed one counts as. One that never left takes nothing from
+    /// a service, so what it was sent for still stands.
+    pub(super) fn extra_after(&self, leg: Leg, failure: LegFailure) -> Option<Extra> {
+        let never_left = matches!(failure, LegFailure::Unreachable | LegFailure::NoShare);
+        let by_service = self.snapshot.shards[leg.shard_at].service.is_some();
+        match failure.ran() {
+            Ran::NotRun if never_left && by_service => leg.extra,
+            Ran::NotRun => Some(Extra::Move),
+            Ran::MayHaveRun => Some(Extra::Retry),
+        }
     }
 
     /// Whether a leg that is sent now is likely to reply before the deadline.
@@ -128,6 +158,7 @@
             replica_at,
             sent: cx.now,
             open: true,
+            extra,
         });
         self.open_legs += 1;
         self.shards[shard_at].open(id, replica_at);
@@ -156,7 +187,7 @@
             .end(cx.now, upstream, &self.class.name, took, end);
         if let LegEnd::Failed(failure) = end {
             self.not_run += usize::from(failure.ran() == Ran::NotRun);
-            if failure == super::LegFailure::SnapshotGone {
+            if failure == LegFailure::SnapshotGone {
                 cx.upstreams.lose(cx.now, upstream, self.snapshot.id);
             }
         }
--- a/src/request/shard.rs
+++ b/src/request/shard.rs
@@ -1,10 +1,10 @@
 //! One shard of one query: what was tried and what it waits for.
 
+use super::{ReplyHead, Terms};
 use crate::process::Extra;
 use crate::types::{LegId, Timestamp};
 
 const MOST_OPEN: usize = 2;
-const MOST_LEGS: u32 = 8;
 
 /// How far a query is with one shard.
 #[derive(Debug, Default)]
@@ -13,6 +13,8 @@
     /// The time of the only entry in the query's due times that still counts.
     pub(super) due: Option<Timestamp>,
     pub(super) legs: u32,
+    /// Legs that provably did not run.
+    pub(super) not_run: u32,
     tried: u64,
     open: [Option<LegId>; MOST_OPEN],
 }
@@ -29,15 +31,19 @@
     Held(Option<Extra>),
     /// A reply.
     UnderWay,
-    /// Nothing: this is the reply's body.
-    Replied(Vec<u8>),
+    /// Nothing: this is the reply.
+    Replied(Option<Box<ReplyHead>>, Vec<u8>),
     /// Nothing: no reply will come.
     GivenUp,
 }
 
 impl ShardState {
     pub(super) fn is_settled(&self) -> bool {
-        matches!(self.phase, Phase::Replied(_) | Phase::GivenUp)
+        matches!(self.phase, Phase::Replied(..) | Phase::GivenUp)
+    }
+
+    pub(super) fn is_replied(&self) -> bool {
+        matches!(self.phase, Phase::Replied(..))
     }
 
     pub(super) fn tried(&self) -> u64 {
@@ -50,8 +56,9 @@
     }
 
     /// Whether one more leg may be sent, whatever for.
-    pub(super) fn has_legs_left(&self) -> bool {
-        self.legs < MOST_LEGS
+    pub(super) fn has_legs_left(&self, terms: &Terms) -> bool {
+        let may_have_run = self.legs - self.not_run;
+        may_have_run < terms.most_runs && self.legs < terms.most_legs
     }
 
     pub(super) fn open_legs(&self) -> impl Iterator<Item = LegId> + use<> {
--- a/src/request/world_tests.rs
+++ b/src/request/world_tests.rs
@@ -356,6 +356,7 @@
         leg: req.leg,
         snapshot: req.snapshot,
         range: req.range,
+        head: None,
         body: body(req.query, req.snapshot, req.range),
     }
 }
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -72,6 +72,20 @@
     }
 }
 
+impl Fingerprint {
+    /// The fingerprint of a request, whoever sends it and under whatever id.
+    #[must_use]
+    pub fn of_request(method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = SipHasher13::new();
+        for part in [method.as_bytes(), target.as_bytes()] {
+            hasher.write(part);
+            hasher.write_u8(0);
+        }
+        hasher.write(body);
+        Self(hasher.finish())
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:016x}", self.0)
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -23,7 +23,7 @@
 pub use key::{Coverage, KeyRange};
 pub use name::{
     CallerName, ClassName, FailureDomain, IdempotencyKey, IndexName, InstanceName, OperatorName,
-    Region, UpstreamName,
+    Region, RouteName, ServiceName, UpstreamName,
 };
 pub use rate::{PerSecond, Ratio};
 pub use secret::{OperatorKey, PeerKey};
--- a/src/types/name.rs
+++ b/src/types/name.rs
@@ -89,6 +89,14 @@
     /// A group of failure domains joined by short links.
     Region, "a region"
 }
+name! {
+    /// A group of replicas that answer alike, such as one shard of an index.
+    ServiceName, "a service name"
+}
+name! {
+    /// A rule that sends requests of one host and path to services.
+    RouteName, "a route name"
+}
 name! {
     /// The caller's key that names one request across its repetitions.
     IdempotencyKey, "an idempotency key"
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -8,9 +8,12 @@
 mod classes;
 mod classes_wire;
 mod directory;
+mod routes;
 mod snapshot;
 mod wire;
 
+#[cfg(test)]
+mod routes_tests;
 #[cfg(test)]
 mod version_tests;
 
@@ -20,4 +23,6 @@
 pub use snapshot::{Shard, Snapshot, UpstreamSpec};
 pub use wire::{IndexWire, ShardWire, SnapshotWire, UpstreamWire, WireError};
 
+pub(crate) use routes::{CallerLimits, Gather, Route, RouteTable, RouteTo};
+
 pub(crate) use classes::{AcceptedChange, Classes, SetClass};
--- a/src/version/snapshot.rs
+++ b/src/version/snapshot.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use crate::types::{
-    ConnectionCount, FailureDomain, IndexName, KeyRange, ShardId, SlotCount, SnapshotId, Span,
-    UpstreamName,
+    ConnectionCount, FailureDomain, IndexName, KeyRange, ServiceName, ShardId, SlotCount,
+    SnapshotId, Span, UpstreamName,
 };
 
 /// One published state of an index.
@@ -26,6 +26,8 @@
     pub id: ShardId,
     /// The keys it holds.
     pub range: KeyRange,
+    /// The service whose replicas these are, when repeats are bounded for each service.
+    pub service: Option<ServiceName>,
     /// The replicas, of which one is enough for an answer.
     pub replicas: Vec<Arc<UpstreamSpec>>,
 }
--- a/src/version/wire.rs
+++ b/src/version/wire.rs
@@ -181,6 +181,7 @@
     Ok(Shard {
         id,
         range: field("range", &wire.range)?,
+        service: None,
         replicas,
     })
 }
