--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -23,6 +23,10 @@
 const MOST_REPLICAS: usize = 64;
 const DOMAIN_WEIGHT: f64 = 0.02;
 const FAR_COST: f64 = 1.2;
+/// How far the least latency of a failure domain grows towards its mean with each reply.
+const LEAST_GROWTH: f64 = 0.001;
+/// After this time without a reply from a failure domain, its distance is looked at anew.
+const FLOOR_KEPT: Span = Span::from_secs(5);
 
 /// How a leg ended, as far as its upstream is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -74,13 +78,30 @@
 pub struct Upstreams {
     by_name: Table<UpstreamName, Observed>,
     by_class: Table<ClassName, ClassLatency>,
-    by_domain: Table<FailureDomain, f64>,
+    by_domain: Table<FailureDomain, DomainLatency>,
     held: Held,
     home: Option<FailureDomain>,
     first_use: Option<Timestamp>,
     prune_at: usize,
 }
 
+/// What the legs to one failure domain took.
+#[derive(Clone, Copy, Debug)]
+struct DomainLatency {
+    mean: f64,
+    /// The least, which grows slowly towards the mean so that a longer way is noticed.
+    least: f64,
+    learnt: Timestamp,
+}
+
+impl DomainLatency {
+    fn learn(&mut self, now: Timestamp, took: f64) {
+        self.mean += (took - self.mean) * DOMAIN_WEIGHT;
+        self.least = took.min(self.least + (self.mean - self.least) * LEAST_GROWTH);
+        self.learnt = now;
+    }
+}
+
 /// What the legs of one class took.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClassLatency {
@@ -108,6 +129,7 @@
         let mut usable = Usable::default();
         let mut gone = false;
         for (at, spec) in seeking.replicas.iter().take(MOST_REPLICAS).enumerate() {
+            let floor = self.floor(now, spec);
             let seen = self.observed(now, spec);
             gone |= seen.lost(now, seeking.snapshot);
             let tried = seeking.tried & (1 << at) != 0;
@@ -116,7 +138,7 @@
             }
             let room_at = limits.room_at(now, spec).max(seen.busy_until());
             let readiness = seen.readiness(now, rng);
-            let cost = seen.expected_micros(now) * f64::from(seen.in_flight + 1);
+            let cost = seen.expected_micros(now).max(floor) * f64::from(seen.in_flight + 1);
             usable.add(now, at, readiness, room_at, cost * self.far_cost(spec));
         }
         usable.pick(rng).unwrap_or(Choice::Nobody { gone })
@@ -155,7 +177,7 @@
         match end {
             LegEnd::Replied => {
                 self.class_mut(class).legs.learn(took);
-                self.learn_domain(&spec.failure_domain, took);
+                self.learn_domain(now, &spec.failure_domain, took);
             }
             LegEnd::Cancelled | LegEnd::Failed(LegFailure::OutOfTime) => {
                 self.class_mut(class).legs.learn_at_least(took);
@@ -221,7 +243,7 @@
         self.prune(now);
         let first_use = *self.first_use.get_or_insert(now);
         let cold = now.since(first_use) > START_GRACE;
-        let guess = self.by_domain.get(&spec.failure_domain).copied();
+        let guess = self.by_domain.get(&spec.failure_domain).map(|of| of.mean);
         let seen = Observed::new(now, guess.unwrap_or(micros(FIRST_LATENCY)), cold);
         self.by_name.entry(spec.name.clone()).or_insert(seen)
     }
@@ -235,16 +257,28 @@
         self.prune_at = self.by_name.len() * 2;
     }
 
-    fn learn_domain(&mut self, domain: &FailureDomain, took: Span) {
+    fn learn_domain(&mut self, now: Timestamp, domain: &FailureDomain, took: Span) {
         let took = micros(took);
         match self.by_domain.get_mut(domain) {
-            Some(mean) => *mean += (took - *mean) * DOMAIN_WEIGHT,
+            Some(of) => of.learn(now, took),
             None => {
-                self.by_domain.insert(domain.clone(), took);
+                let first = DomainLatency {
+                    mean: took,
+                    least: took,
+                    learnt: now,
+                };
+                self.by_domain.insert(domain.clone(), first);
             }
         }
     }
 
+    /// What a leg to the failure domain takes at least, if that was seen lately.
+    fn floor(&self, now: Timestamp, spec: &UpstreamSpec) -> f64 {
+        let of = self.by_domain.get(&spec.failure_domain);
+        of.filter(|of| now.since(of.learnt) < FLOOR_KEPT)
+            .map_or(0.0, |of| of.least)
+    }
+
     fn far_cost(&self, spec: &UpstreamSpec) -> f64 {
         let far = self
             .home
--- a/src/process/upstreams_tests.rs
+++ b/src/process/upstreams_tests.rs
@@ -102,6 +102,28 @@
     assert!((low..=high).contains(&counts[0]), "{counts:?}");
 }
 
+/// Far replicas of many shards are idle most of the time. An old observation of one must
+/// not make it look nearer than its failure domain ever was.
+#[test]
+fn a_far_replica_is_left_alone_while_the_near_one_is_well() {
+    let mut bench = Bench::new([8, 38]);
+    bench.upstreams.set_home("suva-a".parse().unwrap());
+    // Another shard has replicas in the far failure domain alone.
+    let other = spec("other", "labasa-a");
+    let mut far = 0;
+    for _ in 0..500 {
+        far += bench.run(1)[1];
+        let took = Span::from_millis(38);
+        let now = bench.now;
+        bench.upstreams.begin(now, &other);
+        bench
+            .upstreams
+            .end(now, &other, &bench.class, took, LegEnd::Replied);
+        bench.now = now + Span::from_millis(80);
+    }
+    assert!(far <= 2, "{far} of 500 legs were sent far");
+}
+
 #[test]
 fn a_straggler_that_recovers_gets_its_share_back() {
     let mut bench = Bench::new([200, 12]);
