Hedge a leg by the way it has to go

Cause: the class's quantile mixes near and far legs, so a paused near replica was hedged only when a far leg would have been slow (median 39 ms after the start). Now the excess over the failure domain's least decides.

--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -107,6 +107,9 @@
 pub(crate) struct ClassLatency {
     /// From a leg's sending to its reply.
     pub(crate) legs: Latency,
+    /// The same, without the least that a leg to the failure domain takes, so that near
+    /// and far legs are alike.
+    pub(crate) excess: Latency,
     /// From a leg's first wish for room to its sending.
     pub(crate) waits: Latency,
 }
@@ -174,13 +177,18 @@
         end: LegEnd,
     ) {
         self.observed(now, spec).end(now, took, end);
+        let excess = Span(took.0.saturating_sub(self.least_to(now, spec).0));
         match end {
             LegEnd::Replied => {
-                self.class_mut(class).legs.learn(took);
+                let of = self.class_mut(class);
+                of.legs.learn(took);
+                of.excess.learn(excess);
                 self.learn_domain(now, &spec.failure_domain, took);
             }
             LegEnd::Cancelled | LegEnd::Failed(LegFailure::OutOfTime) => {
-                self.class_mut(class).legs.learn_at_least(took);
+                let of = self.class_mut(class);
+                of.legs.learn_at_least(took);
+                of.excess.learn_at_least(excess);
             }
             LegEnd::Failed(_) => {}
         }
@@ -191,6 +199,11 @@
         self.observed(now, spec).lose(now, snapshot);
     }
 
+    /// The least that a leg to the upstream's failure domain takes; zero while unknown.
+    pub(crate) fn least_to(&self, now: Timestamp, spec: &UpstreamSpec) -> Span {
+        Span::from_micros_f64(self.floor(now, spec))
+    }
+
     /// The latencies of a class, if any leg of it was sent.
     pub(crate) fn class(&self, class: &ClassName) -> Option<&ClassLatency> {
         self.by_class.get(class)
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -17,23 +17,24 @@
         if !self.class.targets.repeatable {
             return;
         }
-        if let Some(after) = self.hedge_after(cx) {
+        if let Some(after) = self.hedge_after(cx, shard_at) {
             self.wake_shard_at(shard_at, cx.now + after);
         }
     }
 
     /// How long a leg that is sent now is waited for; one estimate serves all legs of a
-    /// moment.
-    fn hedge_after(&mut self, cx: &Context<'_>) -> Option<Span> {
-        if let Some((at, after)) = self.hedge_plan
-            && at == cx.now
+    /// moment that go as far.
+    fn hedge_after(&mut self, cx: &Context<'_>, shard_at: usize) -> Option<Span> {
+        let least = self.least_of_only_leg(cx, shard_at);
+        if let Some((at, far, after)) = self.hedge_plan
+            && (at, far) == (cx.now, least)
         {
             return after;
         }
         let class = cx.upstreams.class(&self.class.name);
         let left = self.worthwhile_until(cx.now).since(cx.now);
-        let after = hedge::hedge_after(class, self.class.targets.extra_load, left);
-        self.hedge_plan = Some((cx.now, after));
+        let after = hedge::hedge_after(class, self.class.targets.extra_load, left, least);
+        self.hedge_plan = Some((cx.now, least, after));
         after
     }
 
@@ -69,6 +70,15 @@
         }
     }
 
+    fn least_of_only_leg(&self, cx: &Context<'_>, shard_at: usize) -> Span {
+        let mut open = self.shards[shard_at].open_legs();
+        let leg = open.next().and_then(|id| self.open_leg(id));
+        leg.map_or(Span::ZERO, |leg| {
+            let upstream = &self.snapshot.shards[shard_at].replicas[leg.replica_at];
+            cx.upstreams.least_to(cx.now, upstream)
+        })
+    }
+
     fn age_of_only_leg(&self, cx: &Context<'_>, shard_at: usize) -> Option<Span> {
         let mut open = self.shards[shard_at].open_legs();
         let leg = self.open_leg(open.next()?)?;
--- a/src/request/extra_tests.rs
+++ b/src/request/extra_tests.rs
@@ -2,11 +2,12 @@
 
 use rstest::rstest;
 
-use super::harness_tests::{Bench, Setup};
+use super::harness_tests::{Bench, LATENCY, Setup, upstream};
 use super::{LegFailure, hedge};
 use crate::error::ErrorKind;
-use crate::process::{ClassLatency, Extra};
-use crate::types::Span;
+use crate::process::{ClassLatency, Extra, LegEnd, Upstreams};
+use crate::types::{Ratio, Span, Timestamp};
+use crate::version::UpstreamSpec;
 
 const USUAL: Span = Span::from_millis(10);
 
@@ -33,14 +34,15 @@
 })]
 fn a_hedge_waits_as_long_as_the_budget_and_the_deadline_say(#[case] case: HedgeTime) {
     let mut latency = ClassLatency::default();
-    for _ in 0..93 {
-        latency.legs.learn(Span::from_millis(case.fast_ms));
-    }
-    for _ in 0..7 {
-        latency.legs.learn(Span::from_millis(case.slow_ms));
-    }
+    let mut learn = |took| {
+        latency.legs.learn(took);
+        latency.excess.learn(took);
+    };
+    (0..93).for_each(|_| learn(Span::from_millis(case.fast_ms)));
+    (0..7).for_each(|_| learn(Span::from_millis(case.slow_ms)));
     let left = Span::from_millis(case.left_ms);
-    let after = hedge::hedge_after(Some(&latency), case.extra_load.parse().unwrap(), left);
+    let extra_load = case.extra_load.parse().unwrap();
+    let after = hedge::hedge_after(Some(&latency), extra_load, left, Span::ZERO);
     match (after.map(Span::as_millis), case.after_ms) {
         (Some(after), Some((low, high))) => assert!((low..=high).contains(&after), "{after}"),
         (after, wanted) => assert_eq!(after.is_some(), wanted.is_some(), "{after:?}"),
@@ -205,3 +207,35 @@
     bench.next_query();
     assert!(bench.outcome.is_none());
 }
+
+struct Distance {
+    domain: &'static str,
+    no_sooner: Span,
+    no_later: Span,
+}
+
+/// Replicas pause for a moment at their own times. Whether a leg is slow depends on the
+/// way that it has to go: a near one is hedged long before a far one would have come.
+#[rstest]
+#[case::near(Distance { domain: "suva-a", no_sooner: Span::from_millis(9), no_later: Span::from_millis(25) })]
+#[case::far(Distance { domain: "labasa-a", no_sooner: Span::from_millis(41), no_later: Span::from_millis(60) })]
+fn a_paused_replica_is_hedged_by_its_own_distance(#[case] case: Distance) {
+    let class = Setup::default().class();
+    let mut upstreams = Upstreams::default();
+    let mut spec = UpstreamSpec::clone(&upstream("one", 2));
+    for at in 0..400_u64 {
+        let now = Timestamp(at * 10_000);
+        for (domain, least_ms) in [("suva-a", 4), ("labasa-a", 36)] {
+            spec.failure_domain = domain.parse().unwrap();
+            spec.name = domain.parse().unwrap();
+            upstreams.begin(now, &spec);
+            let took = Span::from_millis(least_ms + at % 8);
+            upstreams.end(now, &spec, &class.name, took, LegEnd::Replied);
+        }
+    }
+    spec.failure_domain = case.domain.parse().unwrap();
+    let least = upstreams.least_to(Timestamp(4_000_000), &spec);
+    let latency = upstreams.class(&class.name);
+    let after = hedge::hedge_after(latency, Ratio::from_ppm(60_000), LATENCY, least).unwrap();
+    assert!(after >= case.no_sooner && after <= case.no_later, "{after}");
+}
--- a/src/request/hedge.rs
+++ b/src/request/hedge.rs
@@ -16,17 +16,20 @@
 const LIKELY: f64 = 0.9;
 
 /// How long a leg waits before another replica is asked as well: until it is slower
-/// than all but the part of legs that may be hedged, or sooner when the hedge could
+/// than all but the part of legs that may be hedged, going by the way that it has to go
+/// (`least`), or sooner when the hedge could
 /// not finish otherwise; none when no hedge can finish.
 pub(super) fn hedge_after(
     latency: Option<&ClassLatency>,
     extra_load: Ratio,
     left: Span,
+    least: Span,
 ) -> Option<Span> {
     let hedged = extra_load.as_f64() * HEDGED_PART;
     let part = (1.0 - hedged).clamp(LEAST_PART, MOST_PART);
     let quantile = |part| latency.and_then(|latency| latency.legs.quantile(part));
-    let slow = quantile(part).unwrap_or(FIRST_WAIT).max(LEAST_WAIT);
+    let excess = latency.and_then(|latency| latency.excess.quantile(part));
+    let slow = Span(least.0 + excess.unwrap_or(FIRST_WAIT).max(LEAST_WAIT).0);
     let likely = quantile(LIKELY).unwrap_or(FIRST_NEED);
     let last_chance = Span(left.0.saturating_sub(likely.0)).max(typical(latency));
     let after = slow.min(last_chance);
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -88,8 +88,8 @@
     /// Whether a shard was given up because its replicas lost the snapshot.
     pub(super) snapshot_lost: bool,
     pub(super) held: Vec<usize>,
-    /// The last estimate of when to hedge, and when it was made.
-    pub(super) hedge_plan: Option<(Timestamp, Option<Span>)>,
+    /// The last estimate of when to hedge, when it was made and for how long a way.
+    pub(super) hedge_plan: Option<(Timestamp, Span, Option<Span>)>,
     pub(super) previous: Option<Previous>,
     /// The snapshots that it has left because they are not held any more or not yet.
     pub(super) left_snapshots: Vec<SnapshotId>,
