--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -304,7 +304,8 @@
         if self.open_legs == 0 && !self.held.is_empty() {
             self.probe_held(cx, actions);
         }
-        if self.unsettled == 0 || cx.now >= self.deadline || self.answers_early(cx.now) {
+        let ends = self.unsettled == 0 || cx.now >= self.deadline;
+        if ends || self.is_lost() || self.answers_early(cx.now) {
             let outcome = self.outcome(cx);
             self.finish(cx, Some(outcome), actions);
             return;
--- a/src/request/restart.rs
+++ b/src/request/restart.rs
@@ -64,7 +64,7 @@
         other.cloned()
     }
 
-    fn reaches_target(&self) -> bool {
+    pub(super) fn reaches_target(&self) -> bool {
         let keys = KeyRange::ALL.width();
         Ratio::of(keys - self.lost_keys, keys) >= self.class.targets.coverage
     }
--- a/src/request/terms.rs
+++ b/src/request/terms.rs
@@ -59,6 +59,12 @@
         (at_aim || out_of_patience) && self.meets_coverage()
     }
 
+    /// Whether so many shards are given up that no answer can come of it. Its caller is
+    /// told at once, and what it would still have taken goes to other queries.
+    pub(super) fn is_lost(&self) -> bool {
+        self.terms.aim.is_some() && self.previous.is_none() && !self.reaches_target()
+    }
+
     /// Until when a leg that is sent now is worth the most.
     pub(super) fn worthwhile_until(&self, now: Timestamp) -> Timestamp {
         match self.terms.aim {
--- a/src/request/terms_tests.rs
+++ b/src/request/terms_tests.rs
@@ -128,3 +128,17 @@
     assert_eq!(bench.refusal().kind, ErrorKind::UpstreamFailed);
     assert!(bench.now >= Timestamp(0));
 }
+
+#[test]
+fn a_query_that_cannot_be_answered_any_more_ends_at_once() {
+    let mut bench = bench();
+    let start = bench.now;
+    for at in 0..2 {
+        bench.fail(at, LegFailure::Failed);
+        assert!(bench.outcome.is_none());
+    }
+    bench.reply(2);
+    bench.fail(3, LegFailure::Failed);
+    assert_eq!(bench.answer().took, Span::ZERO);
+    assert_eq!(bench.now, start);
+}
