--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -8,9 +8,13 @@
 use super::Engine;
 use super::tables::EntryState;
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
-use crate::types::{LegId, QueryId};
+use crate::types::{LegId, QueryId, Span};
 use crate::version::Directory;
 
+/// A leg that is not needed any more keeps its connection if it ends within this time;
+/// replicas pause for up to 300 ms.
+const FINISHES_WITHIN: Span = Span::from_millis(400);
+
 /// Something for a worker to do.
 #[derive(Debug)]
 pub(crate) enum Job {
@@ -87,8 +91,10 @@
         Action::Cancel(leg) => {
             let abort = state.legs.swap_remove(&leg);
             let finishes = engine.carrier.cancel_costs_connection() && !state.caller_gone;
-            if let Some(abort) = abort.filter(|_| !finishes) {
-                abort.abort();
+            match abort {
+                Some(abort) if finishes => give_up_later(abort),
+                Some(abort) => abort.abort(),
+                None => {}
             }
         }
         Action::WakeAt(at) => engine.timer.wake_at(at, id),
@@ -100,12 +106,24 @@
     }
 }
 
+/// Lets a leg that nobody waits for finish, but not for as long as it may take.
+fn give_up_later(abort: AbortHandle) {
+    async_std::task::spawn(async move {
+        async_std::task::sleep(FINISHES_WITHIN.as_duration()).await;
+        abort.abort();
+    });
+}
+
 async fn run_leg(engine: Arc<Engine>, leg: LegRequest) {
     let (query, id) = (leg.query, leg.leg);
     let upstream = Arc::clone(&leg.upstream);
     engine.metrics.leg_sent(&upstream.name);
     let most = engine.tables.limits.lock().connections(&leg.upstream);
     let result = engine.carrier.call(leg, most).await;
+    if result.is_ok() {
+        let now = engine.clock.now();
+        engine.tables.upstreams.lock().heard(now, &upstream.name);
+    }
     if let Err(failure) = &result {
         engine.metrics.leg_failed(&upstream.name, *failure);
     }
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -16,6 +16,11 @@
 const DRAIN_AVOIDED: Span = Span::from_secs(5);
 const BACK_OFF_AFTER_SHED: Span = Span::from_millis(5);
 const MOST_BACK_OFF: Span = Span::from_millis(500);
+/// A connection of this instance's share becomes free with the next reply on one.
+const LOOK_FOR_SHARE: Span = Span::from_millis(4);
+/// So many legs in a row were given up for another replica's reply and never answered: a
+/// pause of a replica ends sooner than that many come.
+const MOST_UNHEARD: u32 = 3;
 const MOST_DOUBLINGS: u32 = 16;
 const SLOW_START: Span = Span::from_secs(10);
 const LEAST_SHARE: f64 = 0.05;
@@ -34,6 +39,8 @@
     mean_micros: f64,
     learnt: Timestamp,
     ramp_from: Option<Timestamp>,
+    /// Cancelled legs since the last reply, also a late one.
+    unheard: u32,
     failures: u32,
     avoid_until: Timestamp,
     sheds: u32,
@@ -65,6 +72,7 @@
             mean_micros: guess_micros,
             learnt: now,
             ramp_from: cold.then_some(now),
+            unheard: 0,
             failures: 0,
             avoid_until: Timestamp::default(),
             sheds: 0,
@@ -85,10 +93,25 @@
         match end {
             LegEnd::Replied => self.on_reply(now, took),
             LegEnd::Failed(failure) => self.on_failure(now, took, failure),
-            LegEnd::Cancelled => self.learn_at_least(now, took),
+            LegEnd::Cancelled => {
+                self.learn_at_least(now, took);
+                self.unheard += 1;
+                if self.unheard >= MOST_UNHEARD {
+                    self.avoid(now);
+                }
+            }
         }
     }
 
+    /// Notes that it sent a reply, be it one that nobody waits for any more.
+    pub(super) fn heard(&mut self, now: Timestamp) {
+        if self.unheard >= MOST_UNHEARD {
+            self.avoid_until = now;
+            self.failures = 0;
+        }
+        self.unheard = 0;
+    }
+
     /// Whether it must not be sent a leg of this snapshot, even as the last resort.
     pub(super) fn is_closed(&self, now: Timestamp, snapshot: SnapshotId) -> bool {
         self.withdrawn || now < self.drained_until || self.lost(now, snapshot)
@@ -143,6 +166,7 @@
 
     fn on_reply(&mut self, now: Timestamp, took: Span) {
         self.learn(now, micros(took));
+        self.unheard = 0;
         let returned = self.failures > 0 || self.drains > 0;
         if returned {
             self.ramp_from = Some(now);
@@ -167,7 +191,10 @@
                 self.drains += 1;
             }
             LegFailure::OutOfTime => self.learn_at_least(now, took),
-            LegFailure::NoShare | LegFailure::SnapshotGone | LegFailure::Silent => {}
+            LegFailure::NoShare => {
+                self.busy_until = self.busy_until.max(now + LOOK_FOR_SHARE);
+            }
+            LegFailure::SnapshotGone | LegFailure::Silent => {}
         }
     }
 
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -194,6 +194,13 @@
         }
     }
 
+    /// Notes that an upstream replied, whether or not the reply was still waited for.
+    pub fn heard(&mut self, now: Timestamp, name: &UpstreamName) {
+        if let Some(seen) = self.by_name.get_mut(name) {
+            seen.heard(now);
+        }
+    }
+
     /// Notes that an upstream no longer holds a snapshot.
     pub fn lose(&mut self, now: Timestamp, spec: &UpstreamSpec, snapshot: SnapshotId) {
         self.observed(now, spec).lose(now, snapshot);
--- a/src/process/upstreams_tests.rs
+++ b/src/process/upstreams_tests.rs
@@ -270,3 +270,28 @@
     assert!(first <= 40, "{first} of 200 in the first second");
     assert!(last >= 100, "{last} of 200 in the tenth second");
 }
+
+struct Silence {
+    late_replies: bool,
+    first_replica: (usize, usize),
+}
+
+/// A replica that falls silent costs each query a hedge until it is left alone; one that
+/// only pauses answers late and keeps its legs.
+#[rstest]
+#[case::dark(Silence { late_replies: false, first_replica: (0, 2) })]
+#[case::paused(Silence { late_replies: true, first_replica: (40, 50) })]
+fn a_silent_replica_is_left_alone(#[case] case: Silence) {
+    let mut bench = Bench::new([8, 60]);
+    bench.run(100);
+    for _ in 0..3 {
+        bench.end(0, Span::from_millis(20), LegEnd::Cancelled);
+    }
+    if case.late_replies {
+        let name = bench.replicas[0].name.clone();
+        bench.upstreams.heard(bench.now, &name);
+    }
+    let counts = bench.run(50);
+    let (low, high) = case.first_replica;
+    assert!((low..=high).contains(&counts[0]), "{counts:?}");
+}
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -259,8 +259,10 @@
         if matches!(failure, LegFailure::Shed | LegFailure::NoShare) {
             self.shards[leg.shard_at].forget(leg.replica_at);
         }
-        if failure.ran() == Ran::NotRun {
-            self.shards[leg.shard_at].not_run += 1;
+        match failure {
+            LegFailure::NoShare => self.shards[leg.shard_at].legs -= 1,
+            _ if failure.ran() == Ran::NotRun => self.shards[leg.shard_at].not_run += 1,
+            _ => {}
         }
         let other_leg = self.shards[leg.shard_at].open_legs().next().is_some();
         if other_leg {
--- a/src/request/terms_tests.rs
+++ b/src/request/terms_tests.rs
@@ -142,3 +142,25 @@
     assert_eq!(bench.answer().took, Span::ZERO);
     assert_eq!(bench.now, start);
 }
+
+/// Legs to a replica that fell silent hold this instance's connections to it, and the
+/// other replica's are in use: the shard waits for one instead of being given up.
+#[test]
+fn a_shard_without_a_free_connection_waits_for_one() {
+    let setup = Setup {
+        shards: 1,
+        replicas: 2,
+        ..Setup::default()
+    };
+    let mut bench = Bench::with_terms(setup, Terms::default());
+    for _ in 0..20 {
+        let last = bench.sent.len() - 1;
+        bench.fail(last, LegFailure::NoShare);
+        let until = bench.now + Span::from_millis(4);
+        bench.run_until(until);
+        assert!(bench.outcome.is_none());
+    }
+    let last = bench.sent.len() - 1;
+    bench.reply(last);
+    assert_eq!(bench.answer().parts.len(), 1);
+}
