Read the store once for a starting fleet, and compare all of a few replicas

Cause 1: 83 starting instances each read the store until they knew each other (3,000 of 3,544 calls in the first 3 s). Only the addresses that others ask first read at once, the rest after 1.2 s without news; changes that come together take one call. Cause 2: of three replicas two were drawn, so the near one was missed by a third of the legs.

--- a/src/process/fleet/feed.rs
+++ b/src/process/fleet/feed.rs
@@ -14,6 +14,8 @@
 const WATCH_WAIT: Span = Span::from_millis(1_000);
 /// How often it looks whether it is to read the store.
 const LOOK: Span = Span::from_millis(100);
+/// Changes that come close together are read with one call, since each call is billed.
+const GATHER_CHANGES: Span = Span::from_millis(100);
 const FIRST_PAUSE: Span = Span::from_millis(50);
 /// Configurations are in force within three seconds, and a pause is a part of that.
 const MOST_PAUSE: Span = Span::from_millis(800);
@@ -64,7 +66,8 @@
     fn reads(&self) -> bool {
         let now = self.node.clock.now();
         let begun = self.node.book.lock().is_begun();
-        !begun || self.node.fleet.lock().parent(now) == Parent::Store
+        let is_first = self.node.fleet.lock().parent(now) == Parent::Store;
+        is_first && (begun || self.node.may_begin_alone(now))
     }
 
     async fn read(&mut self) -> Result<(), PlatformError> {
@@ -80,7 +83,10 @@
                 let changes = node.platform.watch(self.prefix, from, WATCH_WAIT).await?;
                 self.succeeded();
                 self.from = Some(changes.revision);
-                self.adopt_changes(changes);
+                if !changes.changes.is_empty() {
+                    self.adopt_changes(changes);
+                    sleep(GATHER_CHANGES.as_duration()).await;
+                }
             }
         }
         node.via.lock().clear();
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -18,6 +18,8 @@
 const LOOK: Span = Span::from_millis(100);
 /// How often an address from the settings is asked that nobody is known at.
 const JOIN_EVERY: Span = Span::from_secs(2);
+/// The same, while nobody else is known at all.
+const FIRST_JOIN_EVERY: Span = Span::from_millis(150);
 /// News that the store stated longer ago are old: a watch ends within a second.
 const OLD_AFTER: Span = Span::from_millis(1_400);
 /// The last in order waits so much longer, so that not all go to the store at once.
@@ -45,7 +47,9 @@
         node.fleet.lock().pass(now);
         node.drop_lapsed();
         node.count_instances();
-        if now.since(joined) >= JOIN_EVERY || joined == Timestamp::default() {
+        let alone = node.fleet.lock().present().count() <= 1;
+        let pause = if alone { FIRST_JOIN_EVERY } else { JOIN_EVERY };
+        if now.since(joined) >= pause || joined == Timestamp::default() {
             joined = now;
             join(&node).await;
         }
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -17,7 +17,7 @@
 use crate::process::{
     Catalog, Clock, Engine, ObjectKey, Platform, PlatformError, Rank, Ranked, RepeatTerms,
 };
-use crate::types::{InstanceName, PeerKey, RouteName, Span, UpstreamName};
+use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp, UpstreamName};
 use crate::version::RouteTable;
 
 /// How long the limits still count an instance that is gone: it may only be cut off.
@@ -25,6 +25,9 @@
 /// The store was heard of so lately that its word on who is alive stands.
 const VOUCHED_WITHIN: Span = Span::from_secs(3);
 
+/// An instance that nobody tells anything reads the store itself after this time.
+const ALONE_AFTER: Span = Span::from_millis(1_200);
+
 /// What an object of the platform states: an edge of the process.
 pub(crate) trait Meaning: Debug + Send + Sync {
     /// The prefixes of the objects that are followed.
@@ -236,6 +239,15 @@
         }
     }
 
+    /// Whether this instance may read the store before it heard of any other. Those that
+    /// others ask first do; the others wait a moment for them, so that a fleet that starts
+    /// does not read the store once for each instance.
+    pub(super) fn may_begin_alone(&self, now: Timestamp) -> bool {
+        let seeds = &self.settings.seeds;
+        let is_seed = seeds.contains(&self.settings.me.member.peer_addr);
+        is_seed || seeds.is_empty() || now >= Timestamp::default() + ALONE_AFTER
+    }
+
     /// Says what this instance is ready for.
     pub(crate) fn set_state(&self, state: MemberState) {
         let now = self.clock.now();
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -28,6 +28,10 @@
 /// After this time without a reply from a failure domain, its distance is looked at anew.
 const FLOOR_KEPT: Span = Span::from_secs(5);
 
+/// Of so many replicas all are compared; of more, two drawn at random, which spreads the
+/// legs of many instances.
+const COMPARED: usize = 8;
+
 /// How a leg ended, as far as its upstream is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LegEnd {
@@ -360,6 +364,7 @@
             [only] => return Some(Choice::Replica(only.0)),
             [one, two] if rng.random() => (one, two),
             [one, two] => (two, one),
+            few if few.len() <= COMPARED => return Some(Choice::Replica(cheapest(few, rng))),
             many => {
                 let one = rng.random_range(0..many.len());
                 let other = rng.random_range(1..many.len());
@@ -371,6 +376,14 @@
     }
 }
 
+/// The replica of the least cost; the first one of equals is drawn at random.
+fn cheapest(found: &[(usize, f64)], rng: &mut SmallRng) -> usize {
+    let from = rng.random_range(0..found.len());
+    let turned = found[from..].iter().chain(&found[..from]);
+    let least = turned.min_by(|one, two| one.1.total_cmp(&two.1));
+    least.map_or(0, |found| found.0)
+}
+
 #[cfg(test)]
 #[path = "upstreams_tests.rs"]
 mod upstreams_tests;
--- a/src/process/upstreams_tests.rs
+++ b/src/process/upstreams_tests.rs
@@ -102,6 +102,25 @@
     assert!((low..=high).contains(&counts[0]), "{counts:?}");
 }
 
+/// Every region has one replica of a shard. The near one is not to be missed because the
+/// draw of two replicas left it out.
+#[test]
+fn of_few_replicas_the_near_one_is_always_seen() {
+    let mut bench = Bench::new([8, 38]);
+    bench.replicas.push(spec("farther", "mal-punta"));
+    let mut near = 0;
+    for _ in 0..200 {
+        let Choice::Replica(at) = bench.choose() else {
+            panic!("all have room");
+        };
+        near += usize::from(at == 0);
+        let took = Span::from_millis([8, 38, 40][at]);
+        bench.end(at, took, LegEnd::Replied);
+        bench.now = bench.now + GAP;
+    }
+    assert!(near >= 190, "{near} of 200 legs went to the near replica");
+}
+
 /// Far replicas of many shards are idle most of the time. An old observation of one must
 /// not make it look nearer than its failure domain ever was.
 #[test]
