--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -6,6 +6,7 @@
 
 use async_std::future::timeout;
 use async_std::task::sleep;
+use futures::future::join_all;
 
 use super::{Follow, News, Node, Parent};
 use crate::process::{Ask, Told};
@@ -15,6 +16,8 @@
 const NEWS_WAIT: Span = Span::from_millis(400);
 /// An instance that did not answer in this time is silent.
 const ANSWER_WITHIN: Span = Span::from_millis(900);
+/// Regions are some tens of milliseconds apart, and proving a key takes three round trips.
+const JOIN_WITHIN: Span = Span::from_millis(300);
 const LOOK: Span = Span::from_millis(100);
 /// How often an address from the settings is asked that nobody is known at.
 const JOIN_EVERY: Span = Span::from_secs(2);
@@ -64,7 +67,7 @@
             followed = Some(addr);
             seen = Seen::default();
         }
-        match ask(&node, addr, seen).await {
+        match ask(&node, addr, seen, ANSWER_WITHIN).await {
             Some(after) => seen = after,
             None => sleep(LOOK.as_duration()).await,
         }
@@ -74,17 +77,19 @@
 /// Asks at the addresses of the settings that nobody is known at yet.
 async fn join(node: &Arc<Node>) {
     let mine = node.settings.me.member.peer_addr;
-    for addr in &node.settings.seeds {
-        if *addr != mine && !node.fleet.lock().knows(*addr) {
-            ask(node, *addr, Seen::default()).await;
-        }
-    }
+    let unknown = node.settings.seeds.iter().copied().filter(|addr| {
+        let fleet = node.fleet.lock();
+        *addr != mine && !fleet.knows(*addr)
+    });
+    // All at once: one that is dark must not delay what the others would tell.
+    let asked = unknown.map(|addr| ask(node, addr, Seen::default(), JOIN_WITHIN));
+    join_all(asked.collect::<Vec<_>>()).await;
 }
 
-async fn ask(node: &Arc<Node>, addr: SocketAddr, seen: Seen) -> Option<Seen> {
+async fn ask(node: &Arc<Node>, addr: SocketAddr, seen: Seen, within: Span) -> Option<Seen> {
     let (follow, told) = question(node, seen);
     let ask = Ask::Follow(Box::new(follow));
-    match node.peers.ask(addr, &ask, ANSWER_WITHIN).await {
+    match node.peers.ask(addr, &ask, within).await {
         Ok(Told::News(news)) => Some(take(node, addr, Seen { told, ..seen }, *news)),
         Ok(_) => None,
         Err(error) => {
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -26,7 +26,7 @@
 const VOUCHED_WITHIN: Span = Span::from_secs(3);
 
 /// An instance that nobody tells anything reads the store itself after this time.
-const ALONE_AFTER: Span = Span::from_millis(1_200);
+const ALONE_AFTER: Span = Span::from_millis(500);
 
 /// What an object of the platform states: an edge of the process.
 pub(crate) trait Meaning: Debug + Send + Sync {
