Add a fault soak that runs the real binary under overlapping faults

Instances as processes, a stand-in store and replicas, proxies between; faults come in series and overlap, and promises to callers and upstreams are checked all the while.

--- /dev/null
+++ b/tests/soak/site.rs
@@ -0,0 +1,215 @@
+//! A small deployment: instances as processes, a store, replicas and proxies between.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use super::proxy::Proxy;
+use super::replica::{Replica, Runs};
+use super::store::Store;
+
+pub(crate) const HOST: &str = "soak.example";
+pub(crate) const INSTANCES: usize = 3;
+const REPLICAS: usize = 2;
+/// The two sets of shards that configurations name in turn.
+pub(crate) const SETS: [&[&str]; 2] = [&["a0", "a1", "a2", "a3"], &["b0", "b1", "b2", "b3", "b4"]];
+pub(crate) const DESK: &str = "desk";
+/// The least part of the shards, in percent.
+pub(crate) const LEAST_PERCENT: usize = 50;
+pub(crate) const RECORDS: usize = 10;
+
+/// One instance, as a process of its own.
+#[derive(Debug)]
+pub(crate) struct Instance {
+    pub(crate) front: SocketAddr,
+    settings: PathBuf,
+    pub(crate) store: Proxy,
+    child: Option<Child>,
+}
+
+/// A replica behind its proxy.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    pub(crate) replica: Replica,
+    pub(crate) proxy: Proxy,
+}
+
+pub(crate) struct Site {
+    pub(crate) store: Store,
+    pub(crate) instances: Vec<Instance>,
+    pub(crate) replicas: Vec<Placed>,
+    pub(crate) runs: Runs,
+    pub(crate) version: u64,
+    born: u64,
+}
+
+impl Site {
+    pub(crate) async fn start(name: &str) -> Self {
+        let (store, store_addr) = Store::start().await;
+        let runs: Runs = Arc::new(Mutex::new(Vec::new()));
+        let mut site = Self {
+            store,
+            instances: Vec::new(),
+            replicas: Vec::new(),
+            runs,
+            version: 0,
+            born: 1,
+        };
+        let services = SETS.into_iter().flatten().copied().chain([DESK]);
+        for service in services {
+            for _ in 0..REPLICAS {
+                site.add_replica(service).await;
+            }
+        }
+        site.change_config();
+        let addrs = free_addrs(INSTANCES * 4);
+        for at in 0..INSTANCES {
+            let proxy = Proxy::start(store_addr).await;
+            let seeds: Vec<String> = (0..INSTANCES)
+                .map(|seed| addrs[seed * 4 + 2].to_string())
+                .collect();
+            let own = &addrs[at * 4..at * 4 + 4];
+            let settings = settings(at, own, &seeds, proxy.addr);
+            let path = std::env::temp_dir().join(format!(
+                "hyssopwalk-soak-{}-{name}-{at}.json",
+                std::process::id()
+            ));
+            std::fs::write(&path, settings.to_string()).expect("the settings are written");
+            let mut instance = Instance {
+                front: own[0],
+                settings: path,
+                store: proxy,
+                child: None,
+            };
+            instance.start();
+            site.instances.push(instance);
+        }
+        site
+    }
+
+    pub(crate) async fn add_replica(&mut self, service: &str) {
+        self.born += 1;
+        let id = format!("i-{}", self.born);
+        let replica = Replica::start(service, &id, self.born, &self.runs).await;
+        let proxy = Proxy::start(replica.addr).await;
+        self.store
+            .put("servers", &id, &replica.entry(proxy.addr, "ready"));
+        self.replicas.push(Placed { replica, proxy });
+    }
+
+    /// Crashes a replica; it comes back under the same id with nothing of before.
+    pub(crate) async fn crash(&mut self, at: usize) {
+        let placed = &mut self.replicas[at];
+        placed.replica.crash().await;
+        placed.proxy.reset();
+        self.born += 1;
+        let (service, id) = (placed.replica.service.clone(), placed.replica.id.clone());
+        let replica = Replica::start(&service, &id, self.born, &self.runs).await;
+        placed.proxy.set_target(replica.addr);
+        let entry = replica.entry(placed.proxy.addr, "ready");
+        self.store.put("servers", &id, &entry);
+        placed.replica = replica;
+    }
+
+    /// A newer configuration that names the other set of shards.
+    pub(crate) fn change_config(&mut self) {
+        self.version += 3;
+        let shards = SETS[usize::try_from(self.version / 3 % 2).expect("0 or 1")];
+        let route = |name: &str, prefix: &str, kind: &str| {
+            json!({
+                "name": name, "host": HOST, "path_prefix": prefix, "route_type": kind,
+                "timeout_ms": 2000, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
+            })
+        };
+        let mut gather = route("g", "/g/", "safe");
+        gather["gather"] = json!(shards);
+        gather["top_k"] = json!(RECORDS);
+        gather["min_version"] =
+            json!(f64::from(u32::try_from(LEAST_PERCENT).expect("a percentage")) / 100.0);
+        let mut one = route("one", "/one/", "safe");
+        one["service"] = json!(DESK);
+        let mut order = route("order", "/order/", "unsafe");
+        order["service"] = json!(DESK);
+        let services = SETS.into_iter().flatten().copied().chain([DESK]);
+        let services: Vec<Value> = services
+            .map(|name| json!({"name": name, "health_path": "/health", "max_connections": 60}))
+            .collect();
+        let config = json!({
+            "version": self.version, "routes": [gather, one, order], "services": services,
+            "limits": {
+                "max_header_bytes": 16384, "max_body_bytes": 65536,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+            },
+        });
+        self.store.put("config", "main", &config);
+    }
+}
+
+impl Instance {
+    pub(crate) fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"))
+            .args(["platform", "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("the binary starts"));
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) {
+        let child = self.child.as_ref();
+        let pid = child
+            .and_then(|child| i32::try_from(child.id()).ok())
+            .and_then(Pid::from_raw);
+        kill_process(pid.expect("it was started"), signal).expect("it is not reaped yet");
+    }
+
+    /// Whether the process has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        child.is_none_or(|child| child.try_wait().is_ok_and(|status| status.is_some()))
+    }
+
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().ok();
+            child.wait().ok();
+        }
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        std::fs::remove_file(&self.settings).ok();
+    }
+}
+
+fn settings(at: usize, own: &[SocketAddr], seeds: &[String], store: SocketAddr) -> Value {
+    json!({
+        "node_name": format!("front-{at}"), "zone": "suva-a", "region": "central",
+        "listen": {
+            "front": own[0], "ready": own[1], "control": own[2], "directory": own[3],
+        },
+        "seeds": seeds,
+        "limits": {"cpu_share": 1.0, "cores": 1},
+        "bounds": {
+            "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_slack": 54,
+        },
+        "platform": {"address": store},
+    })
+}
+
+/// Addresses whose ports were free while all of them were held.
+fn free_addrs(count: usize) -> Vec<SocketAddr> {
+    let listeners: Vec<std::net::TcpListener> = (0..count)
+        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .collect();
+    let addr = |listener: &std::net::TcpListener| listener.local_addr().expect("a bound address");
+    listeners.iter().map(addr).collect()
+}
