--- a/examples/model/baseline.rs
+++ b/examples/model/baseline.rs
@@ -136,6 +136,7 @@
             snapshot: self.snapshot.id,
             shard: shard.id,
             range: shard.range,
+            extra: None,
             time_left: self.deadline.since(now),
             body: Arc::from(&b""[..]),
         }));
--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -48,6 +48,14 @@
         outgoing
     }
 
+    /// A response of the instance itself with a body of text.
+    pub(super) fn text(status: u16, body: String) -> Self {
+        let mut outgoing = Self::new(status, None);
+        outgoing.field("Content-Type", "text/plain");
+        outgoing.body = body.into_bytes();
+        outgoing
+    }
+
     fn field(&mut self, name: &str, value: &str) {
         self.fields
             .push((name.to_owned(), value.as_bytes().to_vec()));
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -53,6 +53,10 @@
     let ready = bind(wire.listen.ready).await?;
     let questions = bind(wire.listen.directory).await?;
     let peers = bind(wire.listen.control).await?;
+    let metrics = match wire.metrics() {
+        Some(addr) => Some(bind(addr).await?),
+        None => None,
+    };
     let clock = Clock::new();
     let carrier = Box::new(Replicas::new(clock));
     let engine = Engine::start(clock, carrier, Workers::Connections)?;
@@ -63,6 +67,9 @@
     spawn(connection::accept_peers(Arc::clone(&node), peers));
     spawn(directory::accept(Arc::clone(&node), ready));
     spawn(directory::accept(Arc::clone(&node), questions));
+    if let Some(metrics) = metrics {
+        spawn(directory::accept(Arc::clone(&node), metrics));
+    }
     let accepting = spawn(front::accept(Arc::clone(&node), callers));
     run_until_stopped(&node, accepting).await
 }
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -1,4 +1,5 @@
-//! Where callers ask for addresses, and where the platform asks whether they may come.
+//! Where callers ask for addresses, the platform whether they may come, and operators for
+//! metrics.
 
 use std::sync::Arc;
 
@@ -15,6 +16,7 @@
 
 const RESOLVE: &str = "/api/resolve";
 const READY: &str = "/api/readiness";
+const METRICS: &str = "/metrics";
 /// How long callers keep an answer, in seconds: short, since an instance that dies stays
 /// in the answers they hold.
 const KEEP_SECS: u32 = 2;
@@ -68,6 +70,7 @@
         READY if node.is_ready() => Outgoing::json(200, "{}".to_owned()),
         READY => Outgoing::json(503, "{}".to_owned()),
         RESOLVE => resolve(node, query),
+        METRICS => metrics(node),
         _ => Outgoing::json(404, "{}".to_owned()),
     }
 }
@@ -94,6 +97,16 @@
     }
 }
 
+fn metrics(node: &Node) -> Outgoing {
+    match node.engine.metrics.render() {
+        Ok(text) => Outgoing::text(200, text),
+        Err(error) => {
+            tracing::error!(%error, "could not write the metrics");
+            Outgoing::text(500, String::new())
+        }
+    }
+}
+
 fn param(query: &str, name: &str) -> Option<String> {
     let mut params = query.split('&').filter_map(|param| param.split_once('='));
     let (_, value) = params.find(|(known, _)| *known == name)?;
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -10,8 +10,8 @@
 use super::payload::{self, DEADLINE, REQUEST_ID};
 use crate::connection::{Hangup, HttpError, RequestHead, Wire};
 use crate::error::{ErrorKind, Refusal};
-use crate::process::{Answered, Node, RouteRequest};
-use crate::types::{Fingerprint, Span};
+use crate::process::{Answered, Engine, Node, RouteRequest};
+use crate::types::{Fingerprint, QueryId, Span};
 use crate::version::CallerLimits;
 
 /// After an accept that failed, as without file descriptors left.
@@ -115,11 +115,19 @@
     let began = node.clock.now();
     let id = req.head.fields.get(REQUEST_ID).map(str::to_owned);
     let hangup = Hangup::new(wire.stream().clone());
-    let outcome = match prepare(&req) {
+    let query = Engine::query_id();
+    let outcome = match prepare(&req, query) {
         Ok(request) => node.answer(request, Box::pin(hangup.wait())).await,
         Err(refusal) => Err(refusal),
     };
-    log(&req, id.as_deref(), &outcome, node.clock.now().since(began));
+    let took = node.clock.now().since(began);
+    if is_noteworthy(&outcome)
+        && let Some(left_out) = node.engine.may_log()
+    {
+        let id = id.as_deref().unwrap_or_default();
+        let version = node.catalog().table.version;
+        tracing::info!(id, %query, target = req.head.target, %version, %took, left_out, "{}", shown(&outcome));
+    }
     let outgoing = match &outcome {
         Ok(answered) => answer::answered(answered, id.as_deref()),
         Err(refusal) => answer::refused(refusal, id.as_deref()),
@@ -128,7 +136,7 @@
     write(wire, &outgoing.render(closes)).await && !closes
 }
 
-fn prepare(req: &Incoming) -> Result<RouteRequest, Refusal> {
+fn prepare(req: &Incoming, query: QueryId) -> Result<RouteRequest, Refusal> {
     let bad = |detail: &str| Refusal::new(ErrorKind::BadRequest, detail);
     let fields = &req.head.fields;
     let id = fields
@@ -146,6 +154,7 @@
     let body = payload::encode(&req.head, id, &req.body)
         .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
     Ok(RouteRequest {
+        query,
         host: host.to_ascii_lowercase(),
         path: path.to_owned(),
         fingerprint: Fingerprint::of_request(&req.head.method, &req.head.target, &req.body),
@@ -154,19 +163,20 @@
     })
 }
 
-fn log(req: &Incoming, id: Option<&str>, outcome: &Result<Answered, Refusal>, took: Span) {
-    let target = &req.head.target;
+/// Whether a caller may ask later what became of its request.
+fn is_noteworthy(outcome: &Result<Answered, Refusal>) -> bool {
     match outcome {
-        Ok(Answered::Gathered { missing, .. }) if *missing > 0 => {
-            tracing::info!(id, target, missing, %took, "answered in part");
-        }
-        Ok(Answered::Passed(part)) if !part.is_success() => {
-            tracing::info!(id, target, %took, "passed an upstream's failure on");
-        }
-        Ok(_) => tracing::debug!(id, target, %took, "answered"),
-        Err(refusal) => {
-            tracing::info!(id, target, kind = %refusal.kind, detail = %refusal.detail, %took, "refused");
-        }
+        Ok(Answered::Gathered { missing, .. }) => *missing > 0,
+        Ok(Answered::Passed(part)) => !part.is_success(),
+        Err(_) => true,
+    }
+}
+
+fn shown(outcome: &Result<Answered, Refusal>) -> String {
+    match outcome {
+        Ok(Answered::Gathered { missing, .. }) => format!("answered without {missing} shards"),
+        Ok(Answered::Passed(_)) => "passed an upstream's failure on".to_owned(),
+        Err(refusal) => format!("refused: {refusal}"),
     }
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -26,6 +26,9 @@
     zone: String,
     region: String,
     pub(super) listen: ListenWire,
+    /// The first and last port that are free for the process's own use.
+    #[serde(default)]
+    internal_ports: Vec<u16>,
     /// Where at most three instances may be asked first; they may be gone.
     #[serde(default)]
     seeds: Vec<String>,
@@ -77,6 +80,14 @@
     pub(super) address: SocketAddr,
 }
 
+impl SettingsWire {
+    /// Where the process serves its metrics, if a port is free for that.
+    pub(super) fn metrics(&self) -> Option<SocketAddr> {
+        let port = self.internal_ports.first()?;
+        Some(SocketAddr::new(self.listen.front.ip(), *port))
+    }
+}
+
 /// Reads the settings file.
 ///
 /// # Errors
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -8,7 +8,7 @@
 use super::Engine;
 use super::tables::EntryState;
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
-use crate::types::{LegId, QueryId, Span};
+use crate::types::{LegId, QueryId, Span, UpstreamName};
 use crate::version::Directory;
 
 /// A leg that is not needed any more keeps its connection if it ends within this time;
@@ -83,6 +83,7 @@
 fn perform(engine: &Arc<Engine>, id: QueryId, state: &mut EntryState, action: Action) {
     match action {
         Action::Send(leg) => {
+            log_extra(engine, &leg);
             let (abort, registration) = AbortHandle::new_pair();
             state.legs.insert(leg.leg, abort);
             let sent = Abortable::new(run_leg(Arc::clone(engine), leg), registration);
@@ -106,6 +107,31 @@
     }
 }
 
+fn log_extra(engine: &Engine, leg: &LegRequest) {
+    if let Some(extra) = leg.extra
+        && let Some(left_out) = engine.may_log()
+    {
+        let (query, shard, upstream) = (leg.query, leg.shard, &leg.upstream.name);
+        let time_left = leg.time_left;
+        tracing::info!(%query, %shard, %upstream, ?extra, %time_left, left_out, "sends another leg");
+    }
+}
+
+fn log_failure(
+    engine: &Engine,
+    query: QueryId,
+    upstream: &UpstreamName,
+    failure: LegFailure,
+    took: Span,
+) {
+    // A wait for a connection is no failure, and is seen in what the query takes.
+    if failure != LegFailure::NoShare
+        && let Some(left_out) = engine.may_log()
+    {
+        tracing::info!(%query, %upstream, %failure, %took, left_out, "a leg failed");
+    }
+}
+
 /// Lets a leg that nobody waits for finish, but not for as long as it may take.
 fn give_up_later(abort: AbortHandle) {
     async_std::task::spawn(async move {
@@ -118,6 +144,7 @@
     let (query, id) = (leg.query, leg.leg);
     let upstream = Arc::clone(&leg.upstream);
     engine.metrics.leg_sent(&upstream.name);
+    let began = engine.clock.now();
     let most = engine.tables.limits.lock().connections(&leg.upstream);
     let result = engine.carrier.call(leg, most).await;
     if result.is_ok() {
@@ -126,6 +153,8 @@
     }
     if let Err(failure) = &result {
         engine.metrics.leg_failed(&upstream.name, *failure);
+        let took = engine.clock.now().since(began);
+        log_failure(&engine, query, &upstream.name, *failure, took);
     }
     let sent = engine.submit(Job::Leg(query, id, result)).await;
     if !sent {
--- a/src/process/engine.rs
+++ b/src/process/engine.rs
@@ -13,7 +13,7 @@
 use super::dispatch::dispatch;
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
-use super::{Clock, Job, Metrics, pool};
+use super::{Clock, Job, LogRate, Metrics, Rank, Ranked, pool};
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, LegFailure, LegReply, LegRequest, Query};
 use crate::types::{ConnectionCount, QueryId};
@@ -59,6 +59,7 @@
     pub(crate) timer: Arc<Timer>,
     pub(crate) metrics: Metrics,
     pub(crate) carrier: Box<dyn Carrier>,
+    log: Ranked<LogRate>,
     jobs: Jobs,
 }
 
@@ -87,6 +88,7 @@
             timer: Arc::new(Timer::new()),
             metrics: Metrics::new()?,
             carrier,
+            log: Ranked::new(Rank::Log, LogRate::default()),
             jobs,
         });
         if let (Workers::Pool(count), Some(queue)) = (workers, queue) {
@@ -118,6 +120,12 @@
         }
     }
 
+    /// Whether a line about a single request may be written now; if so, how many were
+    /// left out before it.
+    pub(crate) fn may_log(&self) -> Option<u64> {
+        self.log.lock().take(self.clock.now())
+    }
+
     /// A new id for a query.
     pub(crate) fn query_id() -> QueryId {
         let mut rng = rand::rng();
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -8,9 +8,9 @@
 use super::Node;
 use crate::connection::Host;
 use crate::error::{ErrorKind, Refusal};
-use crate::process::{Ask, Engine, Plan, Told};
+use crate::process::{Ask, Plan, Told};
 use crate::request::{Answer, Part, Query, Terms, greatest};
-use crate::types::{Fingerprint, PeerKey, Span, Timestamp};
+use crate::types::{Fingerprint, PeerKey, QueryId, Span, Timestamp};
 use crate::version::Snapshot;
 use futures::future::BoxFuture;
 use http::StatusCode;
@@ -26,6 +26,8 @@
 /// A request for a route.
 #[derive(Clone, Debug)]
 pub(crate) struct RouteRequest {
+    /// What its legs are known by in the log.
+    pub(crate) query: QueryId,
     pub(crate) host: String,
     pub(crate) path: String,
     /// What the request is, whoever sends it again.
@@ -89,8 +91,24 @@
             .way(draw)
             .ok_or_else(|| Refusal::new(ErrorKind::NoUpstream, "the route goes nowhere"))?;
         let query = self.query(&plan, snapshot, req, now)?;
-        let answer = self.engine.run(query, gone).await?;
-        finish(&plan, snapshot, answer)
+        let answered = match self.engine.run(query, gone).await {
+            Ok(answer) => finish(&plan, snapshot, answer),
+            Err(refusal) => Err(refusal),
+        };
+        self.count(&plan, now, &answered);
+        answered
+    }
+
+    fn count(&self, plan: &Plan, began: Timestamp, answered: &Result<Answered, Refusal>) {
+        let took = self.clock.now().since(began);
+        let metrics = &self.engine.metrics;
+        match answered {
+            Ok(Answered::Gathered { missing, .. }) => {
+                metrics.answered(&plan.class.name, *missing == 0, took);
+            }
+            Ok(Answered::Passed(_)) => metrics.answered(&plan.class.name, true, took),
+            Err(refusal) => metrics.refused(refusal.kind),
+        }
     }
 
     fn query(
@@ -119,7 +137,7 @@
             passes_failures: plan.gather().is_none(),
         };
         let query = Query::new(
-            Engine::query_id(),
+            req.query,
             Arc::clone(&plan.class),
             Arc::clone(snapshot),
             req.body,
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -76,6 +76,8 @@
     PlatformCalls,
     /// The connections to the platform that are kept.
     PlatformConnections,
+    /// The lines that may still be written about requests.
+    Log,
 }
 
 thread_local! {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -30,6 +30,7 @@
 mod lease;
 mod limits;
 mod lock;
+mod log_rate;
 mod member_metrics;
 mod members;
 mod metrics;
@@ -98,6 +99,7 @@
 };
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
+pub(crate) use log_rate::LogRate;
 #[cfg(test)]
 pub(crate) use members::{Members, Timing};
 pub(crate) use members::{Readiness, Role};
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -23,6 +23,8 @@
     pub shard: ShardId,
     /// The keys of that shard.
     pub range: KeyRange,
+    /// What it is sent for, when it is not the first of its shard.
+    pub extra: Option<Extra>,
     /// How much time is left when it is sent.
     pub time_left: Span,
     /// The query itself.
--- a/src/request/send.rs
+++ b/src/request/send.rs
@@ -150,6 +150,7 @@
             snapshot: self.snapshot.id,
             shard: shard.id,
             range: shard.range,
+            extra,
             time_left: self.deadline.since(cx.now),
             body: Arc::clone(&self.body),
         }));
