--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -32,6 +32,9 @@
     /// Where at most three instances may be asked first; they may be gone.
     #[serde(default)]
     seeds: Vec<String>,
+    /// Whether the whole deployment starts for the first time.
+    #[serde(default)]
+    bootstrap: bool,
     limits: LimitsWire,
     bounds: BoundsWire,
     pub(super) platform: StoreAddressWire,
@@ -123,6 +126,7 @@
                 capacity: capacity(wire.limits),
             },
             seeds: seeds.context("a seed is no address")?,
+            first_start: wire.bootstrap,
             peer_key: peer_key(wire)?,
             repeats: RepeatTerms {
                 ratio: ratio(wire.bounds.retry_budget_ratio),
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -25,8 +25,11 @@
 /// The store was heard of so lately that its word on who is alive stands.
 const VOUCHED_WITHIN: Span = Span::from_secs(3);
 
-/// An instance that nobody tells anything reads the store itself after this time.
+/// An instance that nobody tells anything reads the store itself after this time: others
+/// start within 0.3 s and need a moment to read it.
 const ALONE_AFTER: Span = Span::from_millis(500);
+/// The same, when callers are waiting: two round trips to an instance of another region.
+const ALONE_AFTER_RESTART: Span = Span::from_millis(100);
 
 /// What an object of the platform states: an edge of the process.
 pub(crate) trait Meaning: Debug + Send + Sync {
@@ -55,6 +58,8 @@
     pub(crate) me: Presence,
     /// Where other instances may be asked for the first time.
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Whether the whole deployment starts for the first time, so that nobody waits yet.
+    pub(crate) first_start: bool,
     pub(crate) peer_key: PeerKey,
     pub(crate) repeats: RepeatTerms,
     pub(crate) stop: StopTimes,
@@ -245,7 +250,12 @@
     pub(super) fn may_begin_alone(&self, now: Timestamp) -> bool {
         let seeds = &self.settings.seeds;
         let is_seed = seeds.contains(&self.settings.me.member.peer_addr);
-        is_seed || seeds.is_empty() || now >= Timestamp::default() + ALONE_AFTER
+        let wait = if self.settings.first_start {
+            ALONE_AFTER
+        } else {
+            ALONE_AFTER_RESTART
+        };
+        is_seed || seeds.is_empty() || now >= Timestamp::default() + wait
     }
 
     /// Says what this instance is ready for.
