--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -135,19 +135,27 @@
     }
 }
 
-/// Runs an instance on the users' platform until it is told to stop.
+/// Listens for the signals to stop, and for those that tell of changed settings.
 ///
 /// # Errors
 /// When signals cannot be listened for.
-pub(crate) async fn run_until_stopped(node: &Node, accepting: JoinHandle<()>) -> Result<ExitCode> {
-    let mut signals =
-        Signals::new([Signal::Term, Signal::Int]).context("could not listen for signals")?;
-    let mut hangups = Signals::new([Signal::Hup]).context("could not listen for signals")?;
-    async_std::task::spawn(async move {
-        while hangups.next().await.is_some() {
-            tracing::info!("told that the settings changed; those in use stay until a restart");
-        }
-    });
+pub(crate) fn listen_for_signals() -> Result<(Signals, Signals)> {
+    let stops = Signals::new([Signal::Term, Signal::Int]);
+    let hangups = Signals::new([Signal::Hup]);
+    stops
+        .and_then(|stops| hangups.map(|hangups| (stops, hangups)))
+        .context("could not listen for signals")
+}
+
+/// Runs an instance on the users' platform until it is told to stop.
+///
+/// # Errors
+/// None so far; the commands share one type.
+pub(crate) async fn run_until_stopped(
+    node: &Node,
+    mut signals: Signals,
+    accepting: JoinHandle<()>,
+) -> Result<ExitCode> {
     let mut accepting = Some(accepting);
     loop {
         match next_step(&node.shutdown, node.clock, &mut signals).await {
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -14,8 +14,8 @@
 use super::replicas::Replicas;
 use super::settings::{self, SettingsWire};
 use super::store::Store;
-use super::{directory, front};
-use crate::cmd::{limit_io_threads, log_to_stdout, run_until_stopped};
+use super::{directory, front, reload};
+use crate::cmd::{limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped};
 use crate::connection;
 use crate::process::{Clock, Engine, Node, NodeSettings, Workers};
 
@@ -44,11 +44,13 @@
         }
         log_to_stdout();
         limit_io_threads(self.threads);
-        async_std::task::block_on(serve(wire, settings))
+        async_std::task::block_on(serve(self.settings, wire, settings))
     }
 }
 
-async fn serve(wire: SettingsWire, settings: NodeSettings) -> Result<ExitCode> {
+async fn serve(path: PathBuf, wire: SettingsWire, settings: NodeSettings) -> Result<ExitCode> {
+    // Before anything else: a signal that nobody listens for ends the process.
+    let (stops, hangups) = listen_for_signals()?;
     let callers = bind(wire.listen.front).await?;
     let ready = bind(wire.listen.ready).await?;
     let questions = bind(wire.listen.directory).await?;
@@ -71,7 +73,8 @@
         spawn(directory::accept(Arc::clone(&node), metrics));
     }
     let accepting = spawn(front::accept(Arc::clone(&node), callers));
-    run_until_stopped(&node, accepting).await
+    spawn(reload::follow(Arc::clone(&node), path, hangups));
+    run_until_stopped(&node, stops, accepting).await
 }
 
 async fn bind(addr: SocketAddr) -> Result<TcpListener> {
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -10,6 +10,7 @@
 mod front;
 mod objects;
 mod payload;
+mod reload;
 mod replicas;
 mod reply;
 mod settings;
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -40,7 +40,7 @@
             .strip_prefix(SERVERS)
             .ok_or_else(|| protocol("the object is of no known kind"))?;
         let wire: ServerWire = serde_json::from_slice(value).map_err(protocol)?;
-        replica(id, wire).map(Stated::Replica).map_err(protocol)
+        replica(id, &wire).map(Stated::Replica).map_err(protocol)
     }
 }
 
@@ -143,7 +143,7 @@
     Draining,
 }
 
-fn replica(id: &str, wire: ServerWire) -> Result<ReplicaEntry, ParseError> {
+fn replica(id: &str, wire: &ServerWire) -> Result<ReplicaEntry, ParseError> {
     let born = wire.born.unwrap_or_default();
     Ok(ReplicaEntry {
         service: wire.service.parse()?,
--- a/src/process/allowance.rs
+++ b/src/process/allowance.rs
@@ -9,7 +9,7 @@
 use crate::types::{Ratio, ServiceName, Span, Timestamp};
 
 /// How many steps a window is counted in.
-const STEPS: u64 = 10;
+const STEPS: usize = 10;
 /// The part of the allowance that is used, since instances may disagree for a moment on
 /// how many they are, and one that restarts forgets what it sent.
 const USED_PART: f64 = 0.8;
@@ -37,7 +37,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Spent {
-    steps: [Step; STEPS as usize + 1],
+    steps: [Step; STEPS + 1],
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -102,7 +102,7 @@
     }
 
     fn step(&self, now: Timestamp) -> u64 {
-        now.0 / (self.terms.window.0 / STEPS).max(1)
+        now.0 / (self.terms.window.0 / STEPS as u64).max(1)
     }
 
     fn of(&mut self, service: &ServiceName) -> &mut Spent {
@@ -115,7 +115,7 @@
 
 impl Spent {
     fn at(&mut self, number: u64) -> &mut Step {
-        let at = usize::try_from(number % (STEPS + 1)).unwrap_or_default();
+        let at = usize::try_from(number % (STEPS as u64 + 1)).unwrap_or_default();
         let step = &mut self.steps[at];
         if step.number != number {
             *step = Step {
@@ -129,12 +129,10 @@
     /// Requests of the whole steps of a window and repeats of one step more, so that no
     /// sliding window has more repeats for its requests.
     fn sums(&self, number: u64) -> (u32, u32) {
-        let live = self
-            .steps
-            .iter()
-            .filter(|step| step.number + STEPS >= number);
+        let oldest = number.saturating_sub(STEPS as u64);
+        let live = self.steps.iter().filter(|step| step.number >= oldest);
         live.fold((0, 0), |(requests, repeats), step| {
-            let counted = step.number + STEPS > number;
+            let counted = number - step.number < STEPS as u64;
             (
                 requests + if counted { step.requests } else { 0 },
                 repeats + step.repeats,
--- a/src/process/engine.rs
+++ b/src/process/engine.rs
@@ -94,7 +94,7 @@
         if let (Workers::Pool(count), Some(queue)) = (workers, queue) {
             pool::spawn(&engine, &queue, count)?;
         }
-        engine.timer.spawn(&engine)?;
+        Timer::spawn(&engine)?;
         Ok(engine)
     }
 
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -77,7 +77,7 @@
 /// Asks at the addresses of the settings that nobody is known at yet.
 async fn join(node: &Arc<Node>) {
     let mine = node.settings.me.member.peer_addr;
-    let unknown = node.settings.seeds.iter().copied().filter(|addr| {
+    let unknown = node.seeds().into_iter().filter(|addr| {
         let fleet = node.fleet.lock();
         *addr != mine && !fleet.knows(*addr)
     });
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -75,6 +75,8 @@
     pub(crate) meaning: Box<dyn Meaning>,
     pub(crate) peers: Peers,
     pub(crate) shutdown: Ranked<Shutdown>,
+    /// Where other instances may be asked that nobody is known at.
+    seeds: Ranked<Vec<SocketAddr>>,
     pub(super) fleet: Ranked<Fleet>,
     pub(super) share: Ranked<Share>,
     pub(super) book: Ranked<Book>,
@@ -113,6 +115,7 @@
             platform,
             peers,
             shutdown: Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop)),
+            seeds: Ranked::new(Rank::Seeds, settings.seeds.clone()),
             fleet: Ranked::new(Rank::Fleet, Fleet::new(now, settings.me.clone())),
             share: Ranked::new(Rank::Share, Share::new(GONE_COUNTS_FOR)),
             book: Ranked::new(Rank::Book, Book::new(meaning.prefixes().len())),
@@ -129,6 +132,17 @@
         node
     }
 
+    /// Takes over what of changed settings can change in a running process.
+    pub(crate) fn reload(&self, settings: &NodeSettings) {
+        self.seeds.lock().clone_from(&settings.seeds);
+        let mut budgets = self.engine.tables.budgets.lock();
+        budgets.services.set_terms(settings.repeats);
+    }
+
+    pub(super) fn seeds(&self) -> Vec<SocketAddr> {
+        self.seeds.lock().clone()
+    }
+
     /// What requests are answered from now; later changes do not touch what is returned.
     pub(crate) fn catalog(&self) -> Arc<Catalog> {
         Arc::clone(&self.catalog.lock())
@@ -248,7 +262,7 @@
     /// others ask first do; the others wait a moment for them, so that a fleet that starts
     /// does not read the store once for each instance.
     pub(super) fn may_begin_alone(&self, now: Timestamp) -> bool {
-        let seeds = &self.settings.seeds;
+        let seeds = self.seeds();
         let is_seed = seeds.contains(&self.settings.me.member.peer_addr);
         let wait = if self.settings.first_start {
             ALONE_AFTER
--- a/src/process/fleet/roster_tests.rs
+++ b/src/process/fleet/roster_tests.rs
@@ -91,7 +91,10 @@
         };
         withdrawn.extend(roster.follow(now, &key, &state, entry));
     }
-    let names: Vec<&str> = withdrawn.iter().map(|name| name.as_str()).collect();
+    let names: Vec<&str> = withdrawn
+        .iter()
+        .map(crate::types::UpstreamName::as_str)
+        .collect();
     assert_eq!(names, case.withdrawn);
     assert_eq!(roster.by_key.len(), usize::from(case.listed));
 }
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -22,6 +22,8 @@
     Admission,
     /// The instances, their cells, and what peers are told.
     Members,
+    /// The addresses of the settings at which others may be asked.
+    Seeds,
     /// The instances as a follower knows them.
     Fleet,
     /// How many instances the limits are divided among.
--- a/src/process/timer.rs
+++ b/src/process/timer.rs
@@ -44,7 +44,7 @@
     }
 
     /// Starts the thread that passes due times on as jobs.
-    pub(crate) fn spawn(&self, engine: &Arc<Engine>) -> std::io::Result<()> {
+    pub(crate) fn spawn(engine: &Arc<Engine>) -> std::io::Result<()> {
         let engine = Arc::clone(engine);
         thread::Builder::new()
             .name("timer".to_owned())
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -283,16 +283,15 @@
 
     fn learn_domain(&mut self, now: Timestamp, domain: &FailureDomain, took: Span) {
         let took = micros(took);
-        match self.by_domain.get_mut(domain) {
-            Some(of) => of.learn(now, took),
-            None => {
-                let first = DomainLatency {
-                    mean: took,
-                    least: took,
-                    learnt: now,
-                };
-                self.by_domain.insert(domain.clone(), first);
-            }
+        let first = DomainLatency {
+            mean: took,
+            least: took,
+            learnt: now,
+        };
+        if let Some(of) = self.by_domain.get_mut(domain) {
+            of.learn(now, took);
+        } else {
+            self.by_domain.insert(domain.clone(), first);
         }
     }
 
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -47,18 +47,15 @@
         let front = fronts[number / 8 % fronts.len()];
         let kind = ["/g/", "/g/", "/one/", "/order/"][number % 4];
         let asked = timeout(ANSWER_WITHIN, ask(&mut kept, front, kind, &id)).await;
-        match asked {
-            Ok(Ok(res)) => {
-                check(&seen, kind, &id, &res);
-                let closes = res.get("connection").is_some_and(|value| value == "close");
-                if closes || number % 8 == 7 {
-                    kept = None;
-                }
-            }
-            Ok(Err(_)) | Err(_) => {
-                seen.cut.fetch_add(1, Ordering::Relaxed);
+        if let Ok(Ok(res)) = asked {
+            check(&seen, kind, &id, &res);
+            let closes = res.get("connection").is_some_and(|value| value == "close");
+            if closes || number % 8 == 7 {
                 kept = None;
             }
+        } else {
+            seen.cut.fetch_add(1, Ordering::Relaxed);
+            kept = None;
         }
         sleep(PAUSE).await;
     }
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -102,10 +102,11 @@
 
 /// A response with a body.
 pub(crate) fn response(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
-    let mut text = format!("HTTP/1.1 {status} X\r\n");
-    for (name, value) in fields {
-        text += &format!("{name}: {value}\r\n");
-    }
-    text += &format!("Content-Length: {}\r\n\r\n", body.len());
-    [text.as_bytes(), body].concat()
+    let field = |(name, value): &(&str, &str)| format!("{name}: {value}\r\n");
+    let fields: String = fields.iter().map(field).collect();
+    let head = format!(
+        "HTTP/1.1 {status} X\r\n{fields}Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    [head.as_bytes(), body].concat()
 }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -127,15 +127,20 @@
             site.instances[at].kill();
             site.instances[at].start();
         }
-        Fault::Pause(_) | Fault::Kill(_) | Fault::Stop(_) | Fault::Crash(_) => {}
-        Fault::ResetLinks(_) | Fault::ForgetHistory | Fault::Config => {}
+        Fault::Pause(_)
+        | Fault::Kill(_)
+        | Fault::Stop(_)
+        | Fault::Crash(_)
+        | Fault::ResetLinks(_)
+        | Fault::ForgetHistory
+        | Fault::Config => {}
     }
 }
 
 async fn soak(seed: u64, steps: usize) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut site = Site::start(&seed.to_string()).await;
-    let seen = Arc::new(Seen::default());
+    let told = Arc::new(Seen::default());
     let fronts: Vec<_> = site
         .instances
         .iter()
@@ -146,7 +151,7 @@
             spawn(caller::run(
                 format!("s{seed}c{at}"),
                 fronts.clone(),
-                Arc::clone(&seen),
+                Arc::clone(&told),
             ))
         })
         .collect();
@@ -169,17 +174,17 @@
         end(&mut site, fault);
     }
     let mut broken = recover(&mut site, seed).await;
-    seen.stop.store(true, Ordering::Relaxed);
+    told.stop.store(true, Ordering::Relaxed);
     for caller in callers {
         caller.await;
     }
-    broken.extend(seen.broken.lock().drain(..));
-    broken.extend(check_runs(&site, &seen));
+    broken.extend(told.broken.lock().drain(..));
+    broken.extend(check_runs(&site, &told));
     println!(
         "seed {seed}: {} answered, {} refused, {} cut, {} broken",
-        seen.answered.load(Ordering::Relaxed),
-        seen.refused.load(Ordering::Relaxed),
-        seen.cut.load(Ordering::Relaxed),
+        told.answered.load(Ordering::Relaxed),
+        told.refused.load(Ordering::Relaxed),
+        told.cut.load(Ordering::Relaxed),
         broken.len()
     );
     if !broken.is_empty() {
@@ -204,15 +209,15 @@
                 instance.start();
             }
         }
-        let seen = Arc::new(Seen::default());
+        let told = Arc::new(Seen::default());
         for (at, instance) in site.instances.iter().enumerate() {
             let name = format!("s{seed}r{round}i{at}");
-            caller::once(&name, instance.front, &seen).await;
+            caller::once(&name, instance.front, &told).await;
         }
-        let all = seen.answered.load(Ordering::Relaxed) == caller::KINDS as u64 * INSTANCES as u64;
+        let all = told.answered.load(Ordering::Relaxed) == caller::KINDS as u64 * INSTANCES as u64;
         good = if all { good + 1 } else { 0 };
         if good == GOOD_ROUNDS {
-            return seen.broken.lock().drain(..).collect();
+            return told.broken.lock().drain(..).collect();
         }
         sleep(Duration::from_millis(100)).await;
     }
