Expect more of an unknown replica in another failure domain

Cause: after all machines lost power nothing is known, and a second query already went far because one leg under way doubled the near replica's cost.

--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -17,6 +17,9 @@
 use crate::version::{Snapshot, UpstreamSpec};
 
 const FIRST_LATENCY: Span = Span::from_millis(20);
+/// The same, in another failure domain: the ways there and back are some tens of
+/// milliseconds on the users' deployments.
+const FIRST_LATENCY_FAR: Span = Span::from_millis(40);
 const START_GRACE: Span = Span::from_secs(5);
 const FORGOTTEN_AFTER: Span = Span::from_secs(600);
 const FIRST_PRUNE: usize = 1_024;
@@ -268,7 +271,12 @@
         let first_use = *self.first_use.get_or_insert(now);
         let cold = now.since(first_use) > START_GRACE;
         let guess = self.by_domain.get(&spec.failure_domain).map(|of| of.mean);
-        let seen = Observed::new(now, guess.unwrap_or(micros(FIRST_LATENCY)), cold);
+        let unknown = if self.is_far(spec) {
+            FIRST_LATENCY_FAR
+        } else {
+            FIRST_LATENCY
+        };
+        let seen = Observed::new(now, guess.unwrap_or(micros(unknown)), cold);
         self.by_name.entry(spec.name.clone()).or_insert(seen)
     }
 
@@ -303,11 +311,12 @@
     }
 
     fn far_cost(&self, spec: &UpstreamSpec) -> f64 {
-        let far = self
-            .home
-            .as_ref()
-            .is_some_and(|home| *home != spec.failure_domain);
-        if far { FAR_COST } else { 1.0 }
+        if self.is_far(spec) { FAR_COST } else { 1.0 }
+    }
+
+    fn is_far(&self, spec: &UpstreamSpec) -> bool {
+        let home = self.home.as_ref();
+        home.is_some_and(|home| *home != spec.failure_domain)
     }
 }
 
--- a/src/process/upstreams_tests.rs
+++ b/src/process/upstreams_tests.rs
@@ -102,6 +102,32 @@
     assert!((low..=high).contains(&counts[0]), "{counts:?}");
 }
 
+/// All machines lost power and callers come at once: nothing is known of any replica, and
+/// two queries have a leg for each shard before the first reply.
+#[test]
+fn after_a_restart_near_replicas_go_first() {
+    let mut upstreams = Upstreams::default();
+    upstreams.set_home("suva-a".parse().unwrap());
+    let mut rng = SmallRng::seed_from_u64(7);
+    let now = Timestamp(0);
+    let near = (0..20).filter(|shard| {
+        let replicas = [
+            spec(&format!("far-{shard}"), "labasa-a"),
+            spec(&format!("near-{shard}"), "suva-a"),
+        ];
+        let seeking = Seeking {
+            replicas: &replicas,
+            tried: 0,
+            snapshot: SnapshotId(1),
+        };
+        let first = upstreams.choose(now, &Limits::default(), seeking, &mut rng);
+        upstreams.begin(now, &replicas[1]);
+        let second = upstreams.choose(now, &Limits::default(), seeking, &mut rng);
+        [first, second] == [Choice::Replica(1); 2]
+    });
+    assert_eq!(near.count(), 20);
+}
+
 /// Every region has one replica of a shard. The near one is not to be missed because the
 /// draw of two replicas left it out.
 #[test]
