Do not take an instance for gone because it asked once, and look for lost ones

A seed that was asked at the start took the asker for a follower that fell silent. Two halves of the fleet then took each other for gone and never met again, so the directory sent callers of one failure domain to all. Now asking once is no following, and instances look for those they take for gone.

--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::peer_wire::{MemberWire, PeerWireError};
-use crate::process::{Entry, EntryState, Follow, News, ObjectKey, Presence};
+use crate::process::{Entry, EntryState, Follow, News, ObjectKey, Presence, Reason};
 use crate::types::{Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,10 +32,19 @@
     state: StateWire,
 }
 
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) enum ReasonWire {
+    Follows,
+    Joins,
+    Looks,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct FollowWire {
     from: PresenceWire,
+    reason: ReasonWire,
     of: u64,
     objects: u64,
     members: u64,
@@ -109,10 +118,31 @@
     }
 }
 
+impl From<Reason> for ReasonWire {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Follows => Self::Follows,
+            Reason::Joins => Self::Joins,
+            Reason::Looks => Self::Looks,
+        }
+    }
+}
+
+impl From<ReasonWire> for Reason {
+    fn from(wire: ReasonWire) -> Self {
+        match wire {
+            ReasonWire::Follows => Self::Follows,
+            ReasonWire::Joins => Self::Joins,
+            ReasonWire::Looks => Self::Looks,
+        }
+    }
+}
+
 impl From<&Follow> for FollowWire {
     fn from(follow: &Follow) -> Self {
         Self {
             from: PresenceWire::from(&follow.from),
+            reason: follow.reason.into(),
             of: follow.of.0,
             objects: follow.objects.0,
             members: follow.members.0,
@@ -128,6 +158,7 @@
     fn try_from(wire: FollowWire) -> Result<Self, PeerWireError> {
         Ok(Self {
             from: wire.from.try_into()?,
+            reason: wire.reason.into(),
             of: Incarnation(wire.of),
             objects: Position(wire.objects),
             members: Position(wire.members),
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -7,10 +7,11 @@
 use async_std::future::timeout;
 use async_std::task::sleep;
 use futures::future::join_all;
+use rand::seq::IndexedRandom;
 
-use super::{Follow, News, Node, Parent};
+use super::{Follow, News, Node, Parent, Reason};
 use crate::process::{Ask, Told};
-use crate::types::{Incarnation, Position, Span, Timestamp};
+use crate::types::{Incarnation, Position, Span};
 
 /// How long an answer waits for something to tell.
 const NEWS_WAIT: Span = Span::from_millis(400);
@@ -19,10 +20,10 @@
 /// Regions are some tens of milliseconds apart, and proving a key takes three round trips.
 const JOIN_WITHIN: Span = Span::from_millis(300);
 const LOOK: Span = Span::from_millis(100);
-/// How often an address from the settings is asked that nobody is known at.
-const JOIN_EVERY: Span = Span::from_secs(2);
-/// The same, while nobody else is known at all.
-const FIRST_JOIN_EVERY: Span = Span::from_millis(150);
+/// How often one of those that are taken for gone is asked whether it is there.
+const LOOK_EVERY: Span = Span::from_secs(2);
+/// How often all seeds are asked, while nobody else is known at all.
+const JOIN_EVERY: Span = Span::from_millis(150);
 /// News that the store stated longer ago are old: a watch ends within a second.
 const OLD_AFTER: Span = Span::from_millis(1_400);
 /// The last in order waits so much longer, so that not all go to the store at once.
@@ -44,18 +45,11 @@
 pub(super) async fn run(node: Arc<Node>) {
     let mut seen = Seen::default();
     let mut followed = None;
-    let mut joined = Timestamp::default();
     loop {
         let now = node.clock.now();
         node.fleet.lock().pass(now);
         node.drop_lapsed();
         node.count_instances();
-        let alone = node.fleet.lock().present().count() <= 1;
-        let pause = if alone { FIRST_JOIN_EVERY } else { JOIN_EVERY };
-        if now.since(joined) >= pause || joined == Timestamp::default() {
-            joined = now;
-            join(&node).await;
-        }
         let parent = node.fleet.lock().parent(node.clock.now());
         let Parent::Instance(addr) = parent else {
             followed = None;
@@ -67,27 +61,47 @@
             followed = Some(addr);
             seen = Seen::default();
         }
-        match ask(&node, addr, seen, ANSWER_WITHIN).await {
+        match ask(&node, addr, Reason::Follows, seen, ANSWER_WITHIN).await {
             Some(after) => seen = after,
             None => sleep(LOOK.as_duration()).await,
         }
     }
 }
 
-/// Asks at the addresses of the settings that nobody is known at yet.
-async fn join(node: &Arc<Node>) {
-    let mine = node.settings.me.member.peer_addr;
-    let unknown = node.seeds().into_iter().filter(|addr| {
-        let fleet = node.fleet.lock();
-        *addr != mine && !fleet.knows(*addr)
-    });
-    // All at once: one that is dark must not delay what the others would tell.
-    let asked = unknown.map(|addr| ask(node, addr, Seen::default(), JOIN_WITHIN));
-    join_all(asked.collect::<Vec<_>>()).await;
+/// Looks for others that this instance does not know to be there, until the process ends.
+pub(super) async fn look_around(node: Arc<Node>) {
+    loop {
+        let now = node.clock.now();
+        let lost = node.fleet.lock().lost(now, &node.seeds());
+        let alone = node.fleet.lock().present().count() <= 1;
+        if alone {
+            // All at once: one that is dark must not delay what the others would tell.
+            join_all(lost.iter().map(|addr| meet(&node, *addr))).await;
+            sleep(JOIN_EVERY.as_duration()).await;
+            continue;
+        }
+        let drawn = lost.choose(&mut rand::rng()).copied();
+        if let Some(addr) = drawn {
+            meet(&node, addr).await;
+        }
+        sleep(LOOK_EVERY.as_duration()).await;
+    }
+}
+
+async fn meet(node: &Arc<Node>, addr: SocketAddr) {
+    let begun = node.book.lock().is_begun();
+    let reason = if begun { Reason::Looks } else { Reason::Joins };
+    ask(node, addr, reason, Seen::default(), JOIN_WITHIN).await;
 }
 
-async fn ask(node: &Arc<Node>, addr: SocketAddr, seen: Seen, within: Span) -> Option<Seen> {
-    let (follow, told) = question(node, seen);
+async fn ask(
+    node: &Arc<Node>,
+    addr: SocketAddr,
+    reason: Reason,
+    seen: Seen,
+    within: Span,
+) -> Option<Seen> {
+    let (follow, told) = question(node, reason, seen);
     let ask = Ask::Follow(Box::new(follow));
     match node.peers.ask(addr, &ask, within).await {
         Ok(Told::News(news)) => Some(take(node, addr, Seen { told, ..seen }, *news)),
@@ -102,13 +116,14 @@
     }
 }
 
-fn question(node: &Node, seen: Seen) -> (Follow, Position) {
+fn question(node: &Node, reason: Reason, seen: Seen) -> (Follow, Position) {
     let now = node.clock.now();
     let poison = node.engine.tables.suspects.lock().condemned(now);
     let fleet = node.fleet.lock();
     let (learned, told) = fleet.since(seen.told);
     let follow = Follow {
         from: fleet.me().clone(),
+        reason,
         of: seen.of,
         objects: seen.objects,
         members: seen.members,
@@ -179,7 +194,10 @@
         let learned = {
             let mut fleet = self.fleet.lock();
             let before = fleet.end();
-            fleet.hear(now, follow.from);
+            match follow.reason {
+                Reason::Follows => fleet.hear(now, follow.from),
+                Reason::Joins | Reason::Looks => fleet.meet(now, follow.from),
+            }
             for presence in follow.learned {
                 fleet.learn(now, presence);
             }
@@ -189,10 +207,10 @@
             self.wake_waiting();
         }
         condemn(self, &follow.poison);
-        let (objects, members) = if follow.of == me {
-            (follow.objects, follow.members)
-        } else {
-            (Position(0), Position(0))
+        let (objects, members) = match follow.reason {
+            _ if follow.of == me => (follow.objects, follow.members),
+            Reason::Looks => (self.book.lock().end(), Position(0)),
+            Reason::Follows | Reason::Joins => (Position(0), Position(0)),
         };
         let waiting = self.learned();
         let knows_all = self.book.lock().end() == objects && self.fleet.lock().end() == members;
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -22,6 +22,9 @@
 /// One that did not, although it had two chances, is gone.
 const FORGOTTEN_AFTER: Span = Span::from_secs(25);
 
+/// An instance that is gone is looked for so long; seeds are looked for always.
+const LOOKED_FOR: Span = Span::from_secs(60);
+
 /// One instance, as it or somebody who watched it says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Presence {
@@ -123,9 +126,32 @@
     pub(crate) fn hear(&mut self, now: Timestamp, follower: Presence) {
         let name = follower.member.name.clone();
         let seq = follower.seq;
-        self.shunned.swap_remove(&follower.member.peer_addr);
         self.children.insert(name, Child { heard: now, seq });
-        self.learn(now, follower);
+        self.meet(now, follower);
+    }
+
+    /// Notes that an instance asked once; that it does not ask again means nothing.
+    pub(crate) fn meet(&mut self, now: Timestamp, other: Presence) {
+        self.shunned.swap_remove(&other.member.peer_addr);
+        self.learn(now, other);
+    }
+
+    /// Where to look for instances that this one takes for gone: it may be the one that
+    /// was cut off, and each half of a fleet that was cut in two knows of the other only
+    /// so.
+    pub(crate) fn lost(&self, now: Timestamp, seeds: &[SocketAddr]) -> Vec<SocketAddr> {
+        let me = self.me.member.peer_addr;
+        let there: Vec<SocketAddr> = self.present().map(|known| known.member.peer_addr).collect();
+        let lately = |known: &&Known| now.since(known.learnt) < LOOKED_FOR;
+        let gone = self.others().filter(lately);
+        let mut lost: Vec<SocketAddr> = gone
+            .map(|known| known.presence.member.peer_addr)
+            .chain(seeds.iter().copied())
+            .filter(|addr| *addr != me && !there.contains(addr))
+            .collect();
+        lost.sort_unstable();
+        lost.dedup();
+        lost
     }
 
     /// Notes that an instance did not answer.
@@ -218,12 +244,6 @@
             .filter(|presence| presence.member.state != MemberState::Gone)
     }
 
-    /// Whether an instance at this address was ever heard of.
-    pub(crate) fn knows(&self, addr: SocketAddr) -> bool {
-        let mut known = self.known.values();
-        known.any(|known| known.presence.member.peer_addr == addr)
-    }
-
     /// What was learned after a position, and the position it reaches.
     pub(crate) fn since(&self, from: Position) -> (Vec<Presence>, Position) {
         let news = self.known.values().filter(|known| known.at > from);
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -108,6 +108,44 @@
     assert_eq!(fleet.present().count(), 4);
 }
 
+/// A starting fleet asks its seeds once each; a seed must not take the asker for lost when
+/// it follows somebody else.
+#[test]
+fn one_that_asked_once_is_not_gone() {
+    let mut fleet = fleet(1);
+    fleet.meet(NOW, presence(2, "suva-a"));
+    fleet.pass(NOW + Span::from_secs(2));
+    assert_eq!(states(&fleet)[1].1, MemberState::Live);
+}
+
+#[derive(Clone, Copy)]
+struct Look {
+    gone: &'static [u8],
+    seeds: &'static [u8],
+    after: Span,
+    wanted: &'static [u8],
+}
+
+/// Two halves of a fleet take each other for gone and would never meet again.
+#[rstest]
+#[case::all_there(Look { gone: &[], seeds: &[1, 4], after: Span::ZERO, wanted: &[] })]
+#[case::a_half_is_lost(Look { gone: &[4, 5], seeds: &[1], after: Span::ZERO, wanted: &[4, 5] })]
+#[case::an_unknown_seed(Look { gone: &[], seeds: &[9], after: Span::ZERO, wanted: &[9] })]
+#[case::not_itself(Look { gone: &[], seeds: &[2], after: Span::ZERO, wanted: &[] })]
+#[case::a_seed_is_looked_for_always(Look { gone: &[4, 5], seeds: &[4], after: Span::from_secs(70), wanted: &[4] })]
+fn whom_to_look_for(#[case] look: Look) {
+    let mut fleet = fleet(2);
+    for at in look.gone {
+        let mut gone = presence(*at, domain(*at));
+        gone.member.state = MemberState::Gone;
+        fleet.learn(NOW, gone);
+    }
+    let seeds: Vec<SocketAddr> = look.seeds.iter().map(|at| addr(*at)).collect();
+    let lost = fleet.lost(NOW + look.after, &seeds);
+    let wanted: Vec<SocketAddr> = look.wanted.iter().map(|at| addr(*at)).collect();
+    assert_eq!(lost, wanted);
+}
+
 #[test]
 fn a_follower_that_went_to_another_is_not_gone() {
     let mut fleet = fleet(1);
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -23,4 +23,4 @@
 pub(crate) use node::{Meaning, Node, NodeSettings, Stated};
 pub(crate) use roster::{ReplicaEntry, Roster};
 pub(crate) use serve::{Answered, RouteRequest};
-pub(crate) use telling::{Follow, News};
+pub(crate) use telling::{Follow, News, Reason};
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -129,6 +129,7 @@
         });
         feed::start(&node);
         async_std::task::spawn(follow::run(Arc::clone(&node)));
+        async_std::task::spawn(follow::look_around(Arc::clone(&node)));
         node
     }
 
--- a/src/process/fleet/telling.rs
+++ b/src/process/fleet/telling.rs
@@ -3,10 +3,22 @@
 use super::{Entry, Presence};
 use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
 
+/// What an asker is after.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reason {
+    /// It follows, and will ask again at once.
+    Follows,
+    /// It knows nothing yet and wants to know all, once.
+    Joins,
+    /// It looks who is there, once, because it lost somebody.
+    Looks,
+}
+
 /// Asks for what the asker does not know yet.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Follow {
     pub(crate) from: Presence,
+    pub(crate) reason: Reason,
     /// The process whose positions `objects` and `members` are.
     pub(crate) of: Incarnation,
     /// Up to where the asker knows that process's objects.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -95,7 +95,7 @@
 pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
 pub(crate) use fleet::{
     Answered, Entry, EntryState, Follow, Meaning, News, Node, NodeSettings, Place, Presence,
-    ReplicaEntry, RouteRequest, Stated,
+    Reason, ReplicaEntry, RouteRequest, Stated,
 };
 pub(crate) use instance::Instance;
 pub(crate) use lock::{Rank, Ranked};
