Do not change places while the store is away, and call it less often then

Positions are kept for each instance, and pauses between calls to a store that does not answer grow with the fleet.

--- a/src/process/fleet/feed.rs
+++ b/src/process/fleet/feed.rs
@@ -16,6 +16,9 @@
 const LOOK: Span = Span::from_millis(100);
 /// Changes that come close together are read with one call, since each call is billed.
 const GATHER_CHANGES: Span = Span::from_millis(100);
+/// While the store does not answer, each instance of so many adds one more pause to every
+/// other's, so that their calls together stay few.
+const INSTANCES_A_PAUSE: u64 = 8;
 const FIRST_PAUSE: Span = Span::from_millis(50);
 /// Configurations are in force within three seconds, and a pause is a part of that.
 const MOST_PAUSE: Span = Span::from_millis(800);
@@ -118,7 +121,9 @@
         }
         let now = self.node.clock.now();
         self.node.fleet.lock().shun_store(now);
+        let all = self.node.fleet.lock().present().count() as u64;
         let pause = self.backoff.pause(&mut rand::rng());
+        let pause = Span(pause.0 + pause.0 * all / INSTANCES_A_PAUSE);
         sleep(pause.as_duration()).await;
     }
 
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -7,6 +7,7 @@
 use async_std::future::timeout;
 use async_std::task::sleep;
 use futures::future::join_all;
+use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 
 use super::{Follow, News, Node, Parent, Reason};
@@ -43,7 +44,8 @@
 
 /// Follows whoever is to be followed, until the process ends.
 pub(super) async fn run(node: Arc<Node>) {
-    let mut seen = Seen::default();
+    // Kept for each instance, since one that is followed again tells only what is new.
+    let mut seen: IndexMap<SocketAddr, Seen> = IndexMap::new();
     let mut followed = None;
     loop {
         let now = node.clock.now();
@@ -59,10 +61,12 @@
         if followed != Some(addr) {
             tracing::info!(%addr, "follows another instance");
             followed = Some(addr);
-            seen = Seen::default();
         }
-        match ask(&node, addr, Reason::Follows, seen, ANSWER_WITHIN).await {
-            Some(after) => seen = after,
+        let known = seen.get(&addr).copied().unwrap_or_default();
+        match ask(&node, addr, Reason::Follows, known, ANSWER_WITHIN).await {
+            Some(after) => {
+                seen.insert(addr, after);
+            }
             None => sleep(LOOK.as_duration()).await,
         }
     }
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -57,6 +57,15 @@
     seq: u64,
 }
 
+/// Why an instance is not followed for a while, and until when.
+#[derive(Clone, Copy, Debug)]
+struct Shunned {
+    until: Timestamp,
+    /// It did not answer; once it speaks it may be followed again. One with old news has
+    /// to wait, or all would change places for as long as the store is away.
+    silent: bool,
+}
+
 /// The instances as this one knows them.
 #[derive(Clone, Debug)]
 pub(crate) struct Fleet {
@@ -65,7 +74,7 @@
     known: IndexMap<InstanceName, Known>,
     end: Position,
     children: IndexMap<InstanceName, Child>,
-    shunned: IndexMap<SocketAddr, Timestamp>,
+    shunned: IndexMap<SocketAddr, Shunned>,
     store_shunned: Timestamp,
 }
 
@@ -132,7 +141,14 @@
 
     /// Notes that an instance asked once; that it does not ask again means nothing.
     pub(crate) fn meet(&mut self, now: Timestamp, other: Presence) {
-        self.shunned.swap_remove(&other.member.peer_addr);
+        let addr = other.member.peer_addr;
+        if self
+            .shunned
+            .get(&addr)
+            .is_some_and(|shunned| shunned.silent)
+        {
+            self.shunned.swap_remove(&addr);
+        }
         self.learn(now, other);
     }
 
@@ -156,7 +172,7 @@
 
     /// Notes that an instance did not answer.
     pub(crate) fn lose(&mut self, now: Timestamp, addr: SocketAddr) {
-        self.shun(now, addr);
+        self.leave(now, addr, true);
         let known = self.known.values().map(|known| &known.presence);
         let silent = known
             .filter(|presence| presence.member.peer_addr == addr)
@@ -169,7 +185,12 @@
 
     /// Leaves an instance alone whose news are old, and goes on to the next.
     pub(crate) fn shun(&mut self, now: Timestamp, addr: SocketAddr) {
-        self.shunned.insert(addr, now + SHUNNED_FOR);
+        self.leave(now, addr, false);
+    }
+
+    fn leave(&mut self, now: Timestamp, addr: SocketAddr, silent: bool) {
+        let until = now + SHUNNED_FOR;
+        self.shunned.insert(addr, Shunned { until, silent });
         // What the former parent says of this instance is older from here on.
         self.say(now);
     }
@@ -182,7 +203,7 @@
     /// Lets time pass: followers that fell silent are gone, and so is whoever was not
     /// heard of for long.
     pub(crate) fn pass(&mut self, now: Timestamp) {
-        self.shunned.retain(|_, until| *until > now);
+        self.shunned.retain(|_, shunned| shunned.until > now);
         if now.since(self.said) >= REFRESH_AFTER {
             self.say(now);
         }
@@ -219,7 +240,7 @@
             let is_me = member.name == me.name;
             let shunned = self.shunned.get(&member.peer_addr);
             let stays = member.state != MemberState::Leaving;
-            is_me || (stays && shunned.is_none_or(|until| *until <= now))
+            is_me || (stays && shunned.is_none_or(|shunned| shunned.until <= now))
         };
         let first = |domain_only: bool| {
             self.present()
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -108,6 +108,31 @@
     assert_eq!(fleet.present().count(), 4);
 }
 
+struct Spoke {
+    silent: bool,
+    wanted: Option<u8>,
+}
+
+/// While the store is away everybody's news are old, and everybody asks everybody.
+#[rstest]
+#[case::silent_one_is_back(Spoke { silent: true, wanted: Some(1) })]
+#[case::old_news_stay_old(Spoke { silent: false, wanted: None })]
+fn one_that_asks_is_followed_again(#[case] case: Spoke) {
+    let mut fleet = fleet(2);
+    if case.silent {
+        fleet.lose(NOW, addr(1));
+    } else {
+        fleet.shun(NOW, addr(1));
+    }
+    let mut back = presence(1, "suva-a");
+    back.seq = 5;
+    fleet.hear(NOW, back);
+    let wanted = case
+        .wanted
+        .map_or(Parent::Store, |at| Parent::Instance(addr(at)));
+    assert_eq!(fleet.parent(NOW), wanted);
+}
+
 /// A starting fleet asks its seeds once each; a seed must not take the asker for lost when
 /// it follows somebody else.
 #[test]
