--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -66,6 +66,10 @@
             let detail = format!("no upstream holds snapshot {}", self.snapshot.id);
             return Refusal::new(ErrorKind::NoSnapshot, detail);
         }
+        let mut shards = self.snapshot.shards.iter();
+        if shards.all(|shard| shard.replicas.is_empty()) {
+            return Refusal::new(ErrorKind::NoUpstream, "no replica is listed");
+        }
         if self.legs.is_empty() {
             let took = cx.now.since(self.started);
             let detail = format!("no upstream had room in {took}");
--- a/src/request/terms_tests.rs
+++ b/src/request/terms_tests.rs
@@ -164,3 +164,15 @@
     bench.reply(last);
     assert_eq!(bench.answer().parts.len(), 1);
 }
+
+/// A service whose replicas are all gone is no matter of load: its caller is told so.
+#[test]
+fn a_service_without_replicas_is_said_to_have_none() {
+    let setup = Setup {
+        shards: 1,
+        replicas: 0,
+        ..Setup::default()
+    };
+    let bench = Bench::with_terms(setup, Terms::default());
+    assert_eq!(bench.refusal().kind, ErrorKind::NoUpstream);
+}
