--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -10,8 +10,9 @@
 
 use indexmap::IndexMap;
 
+use super::presence::{Presence, gone, order};
 use crate::process::cells::{Member, MemberState};
-use crate::types::{Incarnation, InstanceName, Position, Span, Timestamp};
+use crate::types::{InstanceName, Position, Span, Timestamp};
 
 /// A follower asks again within half a second, so one that does not for this long is gone.
 const SILENT_AFTER: Span = Span::from_millis(1_500);
@@ -25,16 +26,6 @@
 /// An instance that is gone is looked for so long; seeds are looked for always.
 const LOOKED_FOR: Span = Span::from_secs(60);
 
-/// One instance, as it or somebody who watched it says.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Presence {
-    pub(crate) member: Member,
-    /// Orders what is said of one process.
-    pub(crate) seq: u64,
-    /// Its share of a core, in thousandths.
-    pub(crate) capacity: u32,
-}
-
 /// Where an instance's news come from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Parent {
@@ -291,13 +282,3 @@
         self.learn(now, self.me.clone());
     }
 }
-
-fn gone(mut presence: Presence) -> Presence {
-    presence.member.state = MemberState::Gone;
-    presence
-}
-
-fn order(presence: &Presence) -> (Incarnation, u64, MemberState) {
-    let member = &presence.member;
-    (member.incarnation, presence.seq, member.state)
-}
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -1,7 +1,6 @@
 //! One instance on a platform that serves requests by routes: its tables, and what
 //! happens when it learns something.
 
-use std::fmt::Debug;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,14 +8,14 @@
 use indexmap::IndexMap;
 
 use super::addresses::{self, Place};
-use super::{Book, Entry, EntryState, Fleet, Presence, ReplicaEntry, Roster, feed, follow};
+use super::{
+    Book, Entry, EntryState, Fleet, Meaning, Presence, ReplicaEntry, Roster, Stated, feed, follow,
+};
 use crate::connection::Peers;
 use crate::process::cells::MemberState;
 use crate::process::share::Share;
 use crate::process::shutdown::{Shutdown, StopTimes};
-use crate::process::{
-    Catalog, Clock, Engine, ObjectKey, Platform, PlatformError, Rank, Ranked, RepeatTerms,
-};
+use crate::process::{Catalog, Clock, Engine, Platform, Rank, Ranked, RepeatTerms};
 use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp, UpstreamName};
 use crate::version::RouteTable;
 
@@ -31,27 +30,6 @@
 /// The same, when callers are waiting: two round trips to an instance of another region.
 const ALONE_AFTER_RESTART: Span = Span::from_millis(100);
 
-/// What an object of the platform states: an edge of the process.
-pub(crate) trait Meaning: Debug + Send + Sync {
-    /// The prefixes of the objects that are followed.
-    fn prefixes(&self) -> &'static [&'static str];
-
-    /// Reads one object.
-    ///
-    /// # Errors
-    /// [`PlatformError::Protocol`] when it states nothing that can be used.
-    fn read(&self, key: &ObjectKey, value: &[u8]) -> Result<Stated, PlatformError>;
-}
-
-/// What one object states.
-#[derive(Clone, Debug)]
-pub(crate) enum Stated {
-    /// A configuration.
-    Routes(RouteTable),
-    /// A replica.
-    Replica(ReplicaEntry),
-}
-
 /// What an instance is told when it starts.
 #[derive(Clone, Debug)]
 pub(crate) struct NodeSettings {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod config;
 mod dispatch;
+mod domain;
 mod engine;
 mod exchange;
 mod fleet;
@@ -49,6 +50,7 @@
 mod tables;
 mod timer;
 mod upstreams;
+mod usable;
 mod window;
 
 #[cfg(test)]
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -5,12 +5,13 @@
 
 use std::sync::Arc;
 
-use rand::Rng;
 use rand::rngs::SmallRng;
 
+use super::domain::DomainLatency;
 use super::held::Held;
 use super::latency::Latency;
-use super::observed::{Observed, Readiness, micros};
+use super::observed::{Observed, micros};
+use super::usable::{MOST_REPLICAS, Usable};
 use super::{Limits, Replicas, Table};
 use crate::request::LegFailure;
 use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
@@ -23,18 +24,10 @@
 const START_GRACE: Span = Span::from_secs(5);
 const FORGOTTEN_AFTER: Span = Span::from_secs(600);
 const FIRST_PRUNE: usize = 1_024;
-const MOST_REPLICAS: usize = 64;
-const DOMAIN_WEIGHT: f64 = 0.02;
 const FAR_COST: f64 = 1.2;
-/// How far the least latency of a failure domain grows towards its mean with each reply.
-const LEAST_GROWTH: f64 = 0.001;
 /// After this time without a reply from a failure domain, its distance is looked at anew.
 const FLOOR_KEPT: Span = Span::from_secs(5);
 
-/// Of so many replicas all are compared; of more, two drawn at random, which spreads the
-/// legs of many instances.
-const COMPARED: usize = 8;
-
 /// How a leg ended, as far as its upstream is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LegEnd {
@@ -92,23 +85,6 @@
     prune_at: usize,
 }
 
-/// What the legs to one failure domain took.
-#[derive(Clone, Copy, Debug)]
-struct DomainLatency {
-    mean: f64,
-    /// The least, which grows slowly towards the mean so that a longer way is noticed.
-    least: f64,
-    learnt: Timestamp,
-}
-
-impl DomainLatency {
-    fn learn(&mut self, now: Timestamp, took: f64) {
-        self.mean += (took - self.mean) * DOMAIN_WEIGHT;
-        self.least = took.min(self.least + (self.mean - self.least) * LEAST_GROWTH);
-        self.learnt = now;
-    }
-}
-
 /// What the legs of one class took.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ClassLatency {
@@ -291,14 +267,10 @@
 
     fn learn_domain(&mut self, now: Timestamp, domain: &FailureDomain, took: Span) {
         let took = micros(took);
-        let first = DomainLatency {
-            mean: took,
-            least: took,
-            learnt: now,
-        };
         if let Some(of) = self.by_domain.get_mut(domain) {
             of.learn(now, took);
         } else {
+            let first = DomainLatency::new(now, took);
             self.by_domain.insert(domain.clone(), first);
         }
     }
@@ -320,78 +292,6 @@
     }
 }
 
-/// The replicas with room of the best readiness found so far.
-struct Usable {
-    readiness: Readiness,
-    room_at: Option<Timestamp>,
-    count: usize,
-    found: [(usize, f64); MOST_REPLICAS],
-}
-
-impl Default for Usable {
-    fn default() -> Self {
-        Self {
-            readiness: Readiness::Avoided,
-            room_at: None,
-            count: 0,
-            found: [(0, 0.0); MOST_REPLICAS],
-        }
-    }
-}
-
-impl Usable {
-    fn add(
-        &mut self,
-        now: Timestamp,
-        at: usize,
-        readiness: Readiness,
-        room_at: Timestamp,
-        cost: f64,
-    ) {
-        if readiness > self.readiness {
-            return;
-        }
-        if readiness < self.readiness {
-            self.readiness = readiness;
-            self.room_at = None;
-            self.count = 0;
-        }
-        if room_at > now {
-            let soonest = self.room_at.map_or(room_at, |soonest| soonest.min(room_at));
-            self.room_at = Some(soonest);
-        } else {
-            self.found[self.count] = (at, cost);
-            self.count += 1;
-        }
-    }
-
-    fn pick(&self, rng: &mut SmallRng) -> Option<Choice> {
-        let found = &self.found[..self.count];
-        let (one, two) = match found {
-            [] => return self.room_at.map(Choice::RoomAt),
-            [only] => return Some(Choice::Replica(only.0)),
-            [one, two] if rng.random() => (one, two),
-            [one, two] => (two, one),
-            few if few.len() <= COMPARED => return Some(Choice::Replica(cheapest(few, rng))),
-            many => {
-                let one = rng.random_range(0..many.len());
-                let other = rng.random_range(1..many.len());
-                (&many[one], &many[(one + other) % many.len()])
-            }
-        };
-        let better = if one.1 <= two.1 { one } else { two };
-        Some(Choice::Replica(better.0))
-    }
-}
-
-/// The replica of the least cost; the first one of equals is drawn at random.
-fn cheapest(found: &[(usize, f64)], rng: &mut SmallRng) -> usize {
-    let from = rng.random_range(0..found.len());
-    let turned = found[from..].iter().chain(&found[..from]);
-    let least = turned.min_by(|one, two| one.1.total_cmp(&two.1));
-    least.map_or(0, |found| found.0)
-}
-
 #[cfg(test)]
 #[path = "upstreams_tests.rs"]
 mod upstreams_tests;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod answer;
+mod context;
 mod crashes;
 mod due;
 mod extra;
@@ -36,8 +37,9 @@
 mod world_tests;
 
 pub use answer::{Answer, Part};
+pub use context::{Action, Context, Event};
 pub use leg::{LegFailure, LegReply, LegRequest, ReplyHead};
-pub use query::{Action, Context, Event, Query};
+pub use query::Query;
 pub use terms::Terms;
 
 pub(crate) use merge::greatest;
