Tell a restarted instance of all others again, and accept connections in one place

Cause, found in reading: what was told to an instance was remembered beyond its restart, so it heard of the asker's followers only with their next refresh, up to 10 s later.

--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -5,11 +5,11 @@
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task::{sleep, spawn};
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 
 use super::answer::Outgoing;
+use super::tcp;
 use crate::connection::Wire;
 use crate::process::{Node, Place};
 use crate::types::Span;
@@ -23,7 +23,6 @@
 const MOST_HEAD: usize = 8 << 10;
 /// A caller gives up after a second; the platform asks once a second on one connection.
 const IDLE: Span = Span::from_secs(10);
-const PAUSE_AFTER_FAILURE: Span = Span::from_millis(20);
 
 #[derive(Debug)]
 #[derive(Serialize)]
@@ -34,23 +33,10 @@
 
 /// Accepts questions until the process ends.
 pub(super) async fn accept(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn(serve(Arc::clone(&node), stream));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "could not accept a question for addresses");
-                sleep(PAUSE_AFTER_FAILURE.as_duration()).await;
-            }
-        }
-    }
+    tcp::accept(listener, |stream| serve(Arc::clone(&node), stream)).await;
 }
 
 async fn serve(node: Arc<Node>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "could not set TCP_NODELAY");
-    }
     let mut wire = Wire::new(stream);
     loop {
         let Ok(Ok(req)) = timeout(IDLE.as_duration(), wire.request(MOST_HEAD)).await else {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -4,18 +4,17 @@
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
-use async_std::task::{sleep, spawn};
+use async_std::task::sleep;
 
 use super::answer;
 use super::payload::{self, DEADLINE, REQUEST_ID};
+use super::tcp;
 use crate::connection::{Hangup, HttpError, RequestHead, Wire};
 use crate::error::{ErrorKind, Refusal};
 use crate::process::{Answered, Engine, Node, RouteRequest};
 use crate::types::{Fingerprint, QueryId, Span};
 use crate::version::CallerLimits;
 
-/// After an accept that failed, as without file descriptors left.
-const PAUSE_AFTER_FAILURE: Span = Span::from_millis(20);
 /// A caller reads the answer that its request was none before the connection closes.
 const LINGER: Span = Span::from_millis(300);
 const WRITE_TIMEOUT: Span = Span::from_secs(5);
@@ -28,24 +27,11 @@
 
 /// Accepts callers until the process ends.
 pub(super) async fn accept(node: Arc<Node>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                spawn(serve(Arc::clone(&node), stream));
-            }
-            Err(error) => {
-                tracing::warn!(%error, "could not accept a caller");
-                sleep(PAUSE_AFTER_FAILURE.as_duration()).await;
-            }
-        }
-    }
+    tcp::accept(listener, |stream| serve(Arc::clone(&node), stream)).await;
 }
 
 /// Serves a caller until either side closes.
 async fn serve(node: Arc<Node>, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "could not set TCP_NODELAY");
-    }
     let mut wire = Wire::new(stream);
     loop {
         let limits = node.catalog().table.limits;
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -42,6 +42,19 @@
     told: Position,
 }
 
+impl Seen {
+    /// The same, now that the process of that incarnation answered: one that started
+    /// meanwhile knows nothing of what was told to its predecessor.
+    fn by(self, of: Incarnation) -> Self {
+        let told = if of == self.of {
+            self.told
+        } else {
+            Position::default()
+        };
+        Self { of, told, ..self }
+    }
+}
+
 /// Follows whoever is to be followed, until the process ends.
 pub(super) async fn run(node: Arc<Node>) {
     // Kept for each instance, since one that is followed again tells only what is new.
@@ -165,10 +178,9 @@
     }
     *node.via.lock() = news.via;
     Seen {
-        of: news.of,
         objects: news.objects_to,
         members: news.members_to,
-        told: seen.told,
+        ..seen.by(news.of)
     }
 }
 
@@ -250,3 +262,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "follow_tests.rs"]
+mod follow_tests;
