Take the seeds' lock before the fleet's, and let the soak see panics

Found in reading the diff: the look for lost instances took a lock out of the stated order. Debug builds caught it and the task died unseen, so the soak passed. Release builds do not check the order, so nothing changes there.

--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -89,7 +89,8 @@
 pub(super) async fn look_around(node: Arc<Node>) {
     loop {
         let now = node.clock.now();
-        let lost = node.fleet.lock().lost(now, &node.seeds());
+        let seeds = node.seeds();
+        let lost = node.fleet.lock().lost(now, &seeds);
         let alone = node.fleet.lock().present().count() <= 1;
         if alone {
             // All at once: one that is dark must not delay what the others would tell.
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -24,7 +24,7 @@
 use caller::Seen;
 use proxy::Harm;
 use replica::Manner;
-use site::{INSTANCES, Site};
+use site::{INSTANCES, Instance, Site};
 use store::Mood;
 
 const CALLERS: usize = 6;
@@ -180,6 +180,7 @@
     }
     broken.extend(told.broken.lock().drain(..));
     broken.extend(check_runs(&site, &told));
+    broken.extend(site.instances.iter().flat_map(Instance::panics));
     println!(
         "seed {seed}: {} answered, {} refused, {} cut, {} broken",
         told.answered.load(Ordering::Relaxed),
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -156,7 +156,7 @@
             .args(["platform", "--settings"])
             .arg(&self.settings)
             .stdout(Stdio::null())
-            .stderr(Stdio::null())
+            .stderr(self.errors())
             .spawn();
         self.child = Some(child.expect("the binary starts"));
     }
@@ -169,6 +169,24 @@
         kill_process(pid.expect("it was started"), signal).expect("it is not reaped yet");
     }
 
+    /// Where the process writes what it did not expect, from all its lives.
+    fn errors(&self) -> Stdio {
+        let mut options = std::fs::OpenOptions::new();
+        let file = options.create(true).append(true).open(self.errors_path());
+        file.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
+    fn errors_path(&self) -> PathBuf {
+        self.settings.with_extension("errors")
+    }
+
+    /// Panics that the process survived, such as locks taken out of order.
+    pub(crate) fn panics(&self) -> Vec<String> {
+        let text = std::fs::read_to_string(self.errors_path()).unwrap_or_default();
+        let panics = text.lines().filter(|line| line.contains("panicked at"));
+        panics.map(str::to_owned).collect()
+    }
+
     /// Whether the process has ended.
     pub(crate) fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -187,6 +205,7 @@
     fn drop(&mut self) {
         self.kill();
         std::fs::remove_file(&self.settings).ok();
+        std::fs::remove_file(self.errors_path()).ok();
     }
 }
 
