Send and read a message in one place, bind in one place, keep soak seed 1 as a regression

Found in reading the change once more: the store's client and the carrier each had the same exchange, and both commands the same bind. Behaviour is unchanged.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -19,6 +19,8 @@
 mod table;
 mod token;
 
-pub(crate) use serve::{limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped};
+pub(crate) use serve::{
+    bind, limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped,
+};
 
 pub use args::{Cmd, LoadArgs, ServeArgs};
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -94,7 +94,8 @@
     stop_when_told(&instance, signals, accepting).await
 }
 
-async fn bind(addr: SocketAddr) -> Result<TcpListener> {
+/// Listens at an address, or says which one it could not.
+pub(crate) async fn bind(addr: SocketAddr) -> Result<TcpListener> {
     TcpListener::bind(addr)
         .await
         .with_context(|| format!("could not listen on {addr}"))
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -15,6 +15,7 @@
 const READ_BYTES: usize = 4 << 10;
 const MOST_TRAILER: usize = 16 << 10;
 const MOST_HEADERS: usize = 64;
+const MOST_RESPONSE_HEAD: usize = 16 << 10;
 /// The longest line that states a chunk's size.
 const MOST_CHUNK_LINE: usize = 256;
 
@@ -122,6 +123,21 @@
         .await
     }
 
+    /// Sends a request and reads the whole response, with a body of at most `most`.
+    ///
+    /// # Errors
+    /// Any of [`HttpError`].
+    pub(crate) async fn exchange(
+        &mut self,
+        text: &[u8],
+        most: usize,
+    ) -> Result<(ResponseHead, Vec<u8>), HttpError> {
+        self.write(text).await?;
+        let head = self.response(MOST_RESPONSE_HEAD).await?;
+        let body = self.body(head.framing()?, most).await?;
+        Ok((head, body))
+    }
+
     async fn head<T>(
         &mut self,
         most: usize,
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -1,12 +1,10 @@
 //! `hyssopwalk platform`: runs an instance on the users' platform.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 
 use anyhow::{Context, Result};
-use async_std::net::TcpListener;
 use async_std::task::spawn;
 use clap::Args;
 
@@ -15,7 +13,7 @@
 use super::settings::{self, SettingsWire};
 use super::store::Store;
 use super::{directory, front, reload};
-use crate::cmd::{limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped};
+use crate::cmd::{bind, limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped};
 use crate::connection;
 use crate::process::{Clock, Engine, Node, NodeSettings, Workers};
 
@@ -76,9 +74,3 @@
     spawn(reload::follow(Arc::clone(&node), path, hangups));
     run_until_stopped(&node, stops, accepting).await
 }
-
-async fn bind(addr: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(addr)
-        .await
-        .with_context(|| format!("could not listen on {addr}"))
-}
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -26,7 +26,6 @@
 /// A kept connection is used for this part of the time that its replica states, so that
 /// the two ends do not close and send at the same moment.
 const KEPT_QUARTERS: u64 = 3;
-const MOST_HEAD: usize = 16 << 10;
 const MOST_REPLY: usize = 4 << 20;
 /// Pools of replicas that are gone are dropped when there are more than this.
 const FIRST_PRUNE: usize = 512;
@@ -104,7 +103,7 @@
         }
         let text = payload.render(&leg.upstream.name, left);
         let within = Span(left.0 + REPLY_SLACK.0);
-        let exchanged = timeout(within.as_duration(), exchange(&mut wire, &text)).await;
+        let exchanged = timeout(within.as_duration(), wire.exchange(&text, MOST_REPLY)).await;
         let (head, body) = exchanged
             .map_err(|_| LegFailure::OutOfTime)?
             .map_err(|error| failure(&error))?;
@@ -197,13 +196,6 @@
     seen.is_err_and(|error| error == rustix::io::Errno::WOULDBLOCK)
 }
 
-async fn exchange(wire: &mut Wire, text: &[u8]) -> Result<(ResponseHead, Vec<u8>), HttpError> {
-    wire.write(text).await?;
-    let head = wire.response(MOST_HEAD).await?;
-    let body = wire.body(head.framing()?, MOST_REPLY).await?;
-    Ok((head, body))
-}
-
 fn failure(error: &HttpError) -> LegFailure {
     match error {
         HttpError::Io(_) | HttpError::Closed => LegFailure::Lost,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,7 +12,7 @@
     EventsWire, MetaWire, PageWire, WriteMetaWire, WriteWire, add_page, changes, object, protocol,
 };
 use super::tcp;
-use crate::connection::{HttpError, Wire};
+use crate::connection::Wire;
 use crate::process::{
     Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, Rank,
     Ranked,
@@ -23,7 +23,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const MOST_KEPT: usize = 4;
-const MOST_HEAD: usize = 16 << 10;
 /// The store sends about a megabyte at most.
 const MOST_BODY: usize = 16 << 20;
 const MOST_PAGES: usize = 1_000;
@@ -67,17 +66,21 @@
             None => self.open().await?,
         };
         let text = self.render(method, path, body);
-        let exchanged = timeout(wait + CALL_TIMEOUT, exchange(&mut wire, &text)).await;
-        let (reply, stays) = exchanged
+        let exchanging = wire.exchange(text.as_bytes(), MOST_BODY);
+        let exchanged = timeout(wait + CALL_TIMEOUT, exchanging).await;
+        let (head, body) = exchanged
             .map_err(|_| PlatformError::Unsettled("no whole reply in time".to_owned()))?
             .map_err(|error| PlatformError::Unsettled(error.to_string()))?;
-        if stays && !wire.has_rest() {
+        if !head.closes() && !wire.has_rest() {
             let mut kept = self.kept.lock();
             if kept.len() < MOST_KEPT {
                 kept.push(wire);
             }
         }
-        checked(reply)
+        checked(Reply {
+            status: head.status,
+            body,
+        })
     }
 
     async fn open(&self) -> Result<Wire, PlatformError> {
@@ -109,17 +112,6 @@
     }
 }
 
-async fn exchange(wire: &mut Wire, text: &str) -> Result<(Reply, bool), HttpError> {
-    wire.write(text.as_bytes()).await?;
-    let head = wire.response(MOST_HEAD).await?;
-    let body = wire.body(head.framing()?, MOST_BODY).await?;
-    let reply = Reply {
-        status: head.status,
-        body,
-    };
-    Ok((reply, !head.closes()))
-}
-
 fn checked(reply: Reply) -> Result<Reply, PlatformError> {
     match reply.status {
         200..300 | 404 => Ok(reply),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -30,9 +30,12 @@
 const CALLERS: usize = 6;
 const STEP: Duration = Duration::from_millis(250);
 /// Seeds that failed once, each with its cause.
-const REGRESSIONS: &[u64] = &[];
+const REGRESSIONS: &[u64] = &[
+    // The look for lost instances took a lock out of the stated order and panicked.
+    1,
+];
 /// What a run in CI does; the verdict does not depend on it.
-const USUAL_SEEDS: (u64, u64) = (1, 2);
+const USUAL_SEEDS: (u64, u64) = (2, 3);
 const USUAL_STEPS: usize = 16;
 /// After the last fault an instance may take so many rounds to serve everything again.
 const MOST_ROUNDS: usize = 200;
