--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -17,6 +17,7 @@
 use super::ServeArgs;
 use super::keys::read_keys;
 use crate::connection;
+use crate::platform::ObjectStore;
 use crate::process::{
     CallRates, Clock, Instance, MemberState, Node, Ranked, Settings, Shutdown, Step,
 };
@@ -85,7 +86,8 @@
     settings.listen = listener.local_addr()?;
     let peer_listener = bind(settings.peer_listen).await?;
     settings.peer_listen = peer_listener.local_addr()?;
-    let instance = Instance::start(settings).context("could not start the instance")?;
+    let platform = Arc::new(ObjectStore::new(settings.platform, settings.platform_rates));
+    let instance = Instance::start(settings, platform).context("could not start the instance")?;
     let peers = connection::accept_peers(Arc::clone(&instance), peer_listener);
     async_std::task::spawn(peers);
     let accepting = async_std::task::spawn(connection::accept(Arc::clone(&instance), listener));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,11 +23,11 @@
     RefusedChangeWire, StatusWire, TargetsWire, UpstreamStatusWire,
 };
 pub use error::{ErrorKind, KindRow, Ran, Refusal};
+pub use platform::ObjectStore;
 pub use process::{
     Admission, Allowances, Budgets, CallRates, Change, Changes, Choice, Entrant, Expected, Extra,
-    HttpPlatform, LegEnd, Limits, ListedInstance, Listing, Object, ObjectKey, Platform,
-    PlatformError, QueryEnd, RepeatTerms, Seeking, Settings, SettingsError, Suspects, Ticket,
-    Upstreams,
+    LegEnd, Limits, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, QueryEnd,
+    RepeatTerms, Seeking, Settings, SettingsError, Suspects, Ticket, Upstreams,
 };
 pub use request::{
     Action, Answer, Context, Event, Inquiry, LegFailure, LegReply, LegRequest, Part, Query,
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -11,11 +11,11 @@
 use super::objects::Objects;
 use super::replicas::Replicas;
 use super::settings::{self, SettingsWire};
-use super::store::Store;
+use super::store::ObjectStore;
 use super::{directory, front, reload};
 use crate::cmd::{bind, limit_io_threads, listen_for_signals, log_to_stdout, run_until_stopped};
 use crate::connection;
-use crate::process::{Clock, Engine, Node, NodeSettings, Workers};
+use crate::process::{CallRates, Clock, Engine, Node, NodeSettings, Workers};
 
 /// How an instance on the platform is started.
 #[derive(Clone, Debug)]
@@ -60,7 +60,10 @@
     let clock = Clock::new();
     let carrier = Box::new(Replicas::new(clock));
     let engine = Engine::start(clock, carrier, Workers::Connections)?;
-    let store = Arc::new(Store::new(wire.platform.address));
+    let store = Arc::new(ObjectStore::new(
+        wire.platform.address,
+        CallRates::default(),
+    ));
     let name = settings.me.member.name.clone();
     let node = Node::start(settings, clock, engine, store, Box::new(Objects));
     tracing::info!(%name, "started");
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -15,7 +15,9 @@
 mod reply;
 mod settings;
 mod store;
+mod store_link;
 mod store_wire;
 mod tcp;
 
 pub(crate) use args::PlatformArgs;
+pub use store::ObjectStore;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,31 +1,30 @@
 //! The client of the platform's store: objects by kind and name over HTTP/1.1.
+//!
+//! A key's first part is the kind and the rest the name. A prefix names a kind, and what
+//! stands under its `/` narrows what is given back.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use async_std::future::timeout;
 use futures::future::BoxFuture;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 use serde_json::value::RawValue;
 
+use super::store_link::{Link, Reply};
 use super::store_wire::{
-    EventsWire, MetaWire, PageWire, WriteMetaWire, WriteWire, add_page, changes, object, protocol,
+    EventsWire, PageWire, WriteMetaWire, WriteWire, add_page, changes, listed_instances, object,
+    protocol,
 };
-use super::tcp;
-use crate::connection::Wire;
 use crate::process::{
-    Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform, PlatformError, Rank,
-    Ranked,
+    CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
+    PlatformError,
 };
 use crate::types::{ObjectVersion, Revision, Span};
 
-/// The store answers in milliseconds; one that is slow takes a few hundred.
-const CALL_TIMEOUT: Duration = Duration::from_millis(700);
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-const MOST_KEPT: usize = 4;
-/// The store sends about a megabyte at most.
-const MOST_BODY: usize = 16 << 20;
+/// A listing of 120,000 replicas has a few hundred pages.
 const MOST_PAGES: usize = 1_000;
+/// Objects of this kind say which instances there are, where no one else does.
+const INSTANCES: &str = "instances";
 
 const IN_PATH: &AsciiSet = &NON_ALPHANUMERIC
     .remove(b'-')
@@ -33,73 +32,18 @@
     .remove(b'.')
     .remove(b'~');
 
-/// A client of the store that keeps its connections.
+/// A client of the store that keeps its connections and its share of the rates.
 #[derive(Debug)]
-pub(super) struct Store {
-    addr: SocketAddr,
-    kept: Ranked<Vec<Wire>>,
+pub struct ObjectStore {
+    link: Link,
 }
 
-struct Reply {
-    status: u16,
-    body: Vec<u8>,
-}
-
-impl Store {
-    pub(super) fn new(addr: SocketAddr) -> Self {
-        Self {
-            addr,
-            kept: Ranked::new(Rank::PlatformConnections, Vec::new()),
-        }
-    }
-
-    async fn call(
-        &self,
-        method: &str,
-        path: &str,
-        body: Option<&str>,
-        wait: Duration,
-    ) -> Result<Reply, PlatformError> {
-        let kept = self.kept.lock().pop();
-        let mut wire = match kept {
-            Some(wire) => wire,
-            None => self.open().await?,
-        };
-        let text = self.render(method, path, body);
-        let exchanging = wire.exchange(text.as_bytes(), MOST_BODY);
-        let exchanged = timeout(wait + CALL_TIMEOUT, exchanging).await;
-        let (head, body) = exchanged
-            .map_err(|_| PlatformError::Unsettled("no whole reply in time".to_owned()))?
-            .map_err(|error| PlatformError::Unsettled(error.to_string()))?;
-        if !head.closes() && !wire.has_rest() {
-            let mut kept = self.kept.lock();
-            if kept.len() < MOST_KEPT {
-                kept.push(wire);
-            }
-        }
-        checked(Reply {
-            status: head.status,
-            body,
-        })
-    }
-
-    async fn open(&self) -> Result<Wire, PlatformError> {
-        let stream = timeout(CONNECT_TIMEOUT, tcp::connect(self.addr))
-            .await
-            .map_err(|_| PlatformError::Unreachable("no connection in time".to_owned()))?
-            .map_err(|error| PlatformError::Unreachable(error.to_string()))?;
-        Ok(Wire::new(stream))
-    }
-
-    fn render(&self, method: &str, path: &str, body: Option<&str>) -> String {
-        let head = format!("{method} {path} HTTP/1.1\r\nHost: {}\r\n", self.addr);
-        match body {
-            None => format!("{head}\r\n"),
-            Some(body) => format!(
-                "{head}Content-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
-                body.len()
-            ),
-        }
+impl ObjectStore {
+    /// A client of the store at `addr` that makes at most so many calls a second.
+    #[must_use]
+    pub fn new(addr: SocketAddr, rates: CallRates) -> Self {
+        let link = Link::new(addr, rates);
+        Self { link }
     }
 
     async fn page(&self, kind: &str, after: Option<&str>) -> Result<Reply, PlatformError> {
@@ -108,19 +52,7 @@
             None => format!("/api/objects/{kind}"),
             Some(after) => format!("/api/objects/{kind}?after={}", escaped(after)),
         };
-        self.call("GET", &path, None, Duration::ZERO).await
-    }
-}
-
-fn checked(reply: Reply) -> Result<Reply, PlatformError> {
-    match reply.status {
-        200..300 | 404 => Ok(reply),
-        409 => Err(PlatformError::Conflict),
-        410 => Err(PlatformError::Compacted),
-        413 => Err(PlatformError::TooLarge),
-        429 | 503 => Err(PlatformError::Busy),
-        status @ 400..500 => Err(PlatformError::Rejected(format!("status {status}"))),
-        status => Err(PlatformError::Unsettled(format!("status {status}"))),
+        self.link.read(&path, Duration::ZERO).await
     }
 }
 
@@ -131,8 +63,7 @@
 /// The kind and name that a key stands for.
 fn parts(key: &ObjectKey) -> Result<(&str, &str), PlatformError> {
     key.check()?;
-    let parts = key.as_str().split_once('/');
-    parts.ok_or_else(|| PlatformError::Rejected(format!("{key} has no kind")))
+    Ok(key.as_str().split_once('/').unwrap_or_default())
 }
 
 fn path(key: &ObjectKey) -> Result<String, PlatformError> {
@@ -141,17 +72,16 @@
 }
 
 fn kind_of(prefix: &str) -> &str {
-    prefix.trim_end_matches('/')
+    prefix.split_once('/').map_or(prefix, |(kind, _)| kind)
 }
 
 fn raw(body: &[u8]) -> Result<&RawValue, PlatformError> {
     serde_json::from_slice(body).map_err(protocol)
 }
 
-impl Platform for Store {
-    /// The store keeps no list of instances; they know each other by themselves.
+impl Platform for ObjectStore {
     fn instances(&self) -> BoxFuture<'_, Result<Vec<ListedInstance>, PlatformError>> {
-        Box::pin(async { Ok(Vec::new()) })
+        Box::pin(async { listed_instances(&self.list(INSTANCES).await?) })
     }
 
     fn get<'a>(
@@ -160,7 +90,7 @@
     ) -> BoxFuture<'a, Result<Option<Object>, PlatformError>> {
         Box::pin(async move {
             let (kind, _) = parts(key)?;
-            let reply = self.call("GET", &path(key)?, None, Duration::ZERO).await?;
+            let reply = self.link.read(&path(key)?, Duration::ZERO).await?;
             if reply.status == 404 {
                 return Ok(None);
             }
@@ -184,8 +114,10 @@
                     listing.revision = Revision(wire.current_rev);
                 }
                 add_page(&mut listing, kind, &wire);
-                after = last_name(&wire)?;
+                after = wire.last_name()?;
                 if !wire.more || after.is_none() {
+                    let is_under = |object: &Object| object.key.is_under(prefix);
+                    listing.objects.retain(is_under);
                     return Ok(listing);
                 }
             }
@@ -207,12 +139,10 @@
             };
             let wire = WriteWire {
                 meta: WriteMetaWire { name, revision },
-                spec: raw(&value)?,
+                spec: raw(&value).map_err(|error| PlatformError::Rejected(error.to_string()))?,
             };
             let body = serde_json::to_string(&wire).map_err(protocol)?;
-            let reply = self
-                .call(method, &path, Some(&body), Duration::ZERO)
-                .await?;
+            let reply = self.link.write(method, &path, Some(&body)).await?;
             if reply.status == 404 {
                 return Err(PlatformError::Conflict);
             }
@@ -227,7 +157,7 @@
     ) -> BoxFuture<'a, Result<(), PlatformError>> {
         Box::pin(async move {
             let path = format!("{}?revision={expected}", path(key)?);
-            let reply = self.call("DELETE", &path, None, Duration::ZERO).await?;
+            let reply = self.link.write("DELETE", &path, None).await?;
             match reply.status {
                 404 => Err(PlatformError::Conflict),
                 _ => Ok(()),
@@ -248,22 +178,12 @@
                 "/api/objects/{}?watch={from}&wait_ms={wait_ms}",
                 escaped(kind)
             );
-            let reply = self.call("GET", &path, None, wait.as_duration()).await?;
+            let reply = self.link.read(&path, wait.as_duration()).await?;
             let wire: EventsWire<'_> = serde_json::from_slice(&reply.body).map_err(protocol)?;
-            Ok(changes(kind, &wire))
+            let mut changes = changes(kind, &wire);
+            let is_under = |change: &Change| change.key.is_under(prefix);
+            changes.changes.retain(is_under);
+            Ok(changes)
         })
     }
 }
-
-/// The name that the next page goes on after.
-fn last_name(page: &PageWire<'_>) -> Result<Option<String>, PlatformError> {
-    #[derive(serde::Deserialize)]
-    struct Named {
-        meta: MetaWire,
-    }
-    let Some(last) = page.items.last() else {
-        return Ok(None);
-    };
-    let named: Named = serde_json::from_str(last.get()).map_err(protocol)?;
-    Ok(Some(named.meta.name))
-}
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::process::{Change, Changes, Listing, Object, ObjectKey, PlatformError};
+use crate::process::{Change, Changes, ListedInstance, Listing, Object, ObjectKey, PlatformError};
 use crate::types::{ObjectVersion, Revision};
 
 /// A page of the objects of one kind.
@@ -20,6 +20,24 @@
     pub(super) current_rev: u64,
 }
 
+impl PageWire<'_> {
+    /// The name that the next page goes on after.
+    ///
+    /// # Errors
+    /// [`PlatformError::Protocol`] when the last object has no name.
+    pub(super) fn last_name(&self) -> Result<Option<String>, PlatformError> {
+        #[derive(Deserialize)]
+        struct Named {
+            meta: MetaWire,
+        }
+        let Some(last) = self.items.last() else {
+            return Ok(None);
+        };
+        let named: Named = serde_json::from_str(last.get()).map_err(protocol)?;
+        Ok(Some(named.meta.name))
+    }
+}
+
 /// The changes that a watch saw.
 #[derive(Debug)]
 #[derive(Deserialize)]
@@ -42,19 +60,31 @@
 #[derive(Debug)]
 #[derive(Deserialize)]
 pub(super) struct ObjectWire<'a> {
-    pub(super) meta: MetaWire,
+    meta: MetaWire,
     /// What whoever made the object states.
     #[serde(borrow, default)]
     spec: Option<&'a RawValue>,
 }
 
-#[derive(Clone, Debug)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(super) struct MetaWire {
-    pub(super) name: String,
+    name: String,
     /// The store's revision at the object's last change; 0 in an object that is new.
     #[serde(default)]
-    pub(super) revision: u64,
+    revision: u64,
+}
+
+/// An instance as a deployment states it.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct InstanceWire {
+    addr: String,
+    peer_addr: String,
+    failure_domain: String,
+    region: String,
+    #[serde(default)]
+    leaving: bool,
 }
 
 /// An object as it is written.
@@ -118,3 +148,36 @@
         changes,
     }
 }
+
+/// Reads the objects that state an instance each.
+///
+/// # Errors
+/// [`PlatformError::Protocol`] when one cannot be read, as a list that lacks an instance
+/// would pass for one that says the instance is gone.
+pub(super) fn listed_instances(listing: &Listing) -> Result<Vec<ListedInstance>, PlatformError> {
+    listing.objects.iter().map(listed_instance).collect()
+}
+
+fn listed_instance(object: &Object) -> Result<ListedInstance, PlatformError> {
+    let wire: InstanceWire = serde_json::from_slice(&object.value).map_err(protocol)?;
+    let (_, name) = object.key.as_str().split_once('/').unwrap_or_default();
+    Ok(ListedInstance {
+        name: field(name)?,
+        addr: field(&wire.addr)?,
+        peer_addr: field(&wire.peer_addr)?,
+        failure_domain: field(&wire.failure_domain)?,
+        region: field(&wire.region)?,
+        leaving: wire.leaving,
+    })
+}
+
+fn field<T>(text: &str) -> Result<T, PlatformError>
+where
+    T: std::str::FromStr<Err: std::fmt::Display>,
+{
+    text.parse().map_err(|error: T::Err| protocol(error))
+}
+
+#[cfg(test)]
+#[path = "store_wire_tests.rs"]
+mod store_wire_tests;
--- /dev/null
+++ b/src/platform/store_wire_tests.rs
@@ -0,0 +1,96 @@
+//! What the store replies with is read or refused, whatever it is, and one object that
+//! cannot be read hides no other.
+
+use proptest::prelude::*;
+use serde_json::{Value, json};
+
+use super::{EventsWire, PageWire, add_page, changes, listed_instances};
+use crate::process::Listing;
+use crate::types::Revision;
+
+fn listing(bytes: &[u8]) -> Option<Listing> {
+    let wire: PageWire<'_> = serde_json::from_slice(bytes).ok()?;
+    let mut listing = Listing {
+        revision: Revision(wire.current_rev),
+        objects: Vec::new(),
+    };
+    add_page(&mut listing, "k", &wire);
+    wire.last_name().ok();
+    Some(listing)
+}
+
+fn read_all(bytes: &[u8]) {
+    if let Some(listing) = listing(bytes) {
+        listed_instances(&listing).ok();
+    }
+    if let Ok(wire) = serde_json::from_slice::<EventsWire<'_>>(bytes) {
+        changes("k", &wire);
+    }
+}
+
+fn object(name: &str) -> Value {
+    json!({
+        "meta": { "name": name, "revision": 3, "created_revision": 1, "finalizers": [] },
+        "spec": {
+            "addr": "127.0.0.1:1", "peer_addr": "[::1]:2",
+            "failure_domain": "suva-a", "region": "central",
+        },
+        "status": null,
+    })
+}
+
+fn replies() -> [Value; 2] {
+    [
+        json!({ "items": [object("one")], "more": false, "current_rev": 9 }),
+        json!({ "events": [{ "object": object("one"), "deleted": true }], "current_rev": 9 }),
+    ]
+}
+
+struct Odd {
+    name: &'static str,
+    object: Value,
+}
+
+#[test]
+fn an_object_that_cannot_be_read_hides_no_other() {
+    let odd = [
+        ("no object", json!(7)),
+        ("no meta", json!({ "spec": {} })),
+        ("no name", json!({ "meta": { "revision": 3 }, "spec": {} })),
+        ("a name that is none", json!({ "meta": { "name": 3 } })),
+        (
+            "a revision that is none",
+            json!({ "meta": { "name": "x", "revision": -1 } }),
+        ),
+    ];
+    for odd in odd.map(|(name, object)| Odd { name, object }) {
+        let items = [odd.object.clone(), object("one")];
+        let page = json!({ "items": items, "more": false, "current_rev": 9 });
+        let listing = listing(page.to_string().as_bytes()).expect(odd.name);
+        assert_eq!(listing.objects.len(), 1, "{}", odd.name);
+        assert_eq!(listing.objects[0].key.as_str(), "k/one", "{}", odd.name);
+
+        let events = items.map(|object| json!({ "object": object }));
+        let events = json!({ "events": events, "current_rev": 9 }).to_string();
+        let wire: EventsWire<'_> = serde_json::from_str(&events).expect(odd.name);
+        assert_eq!(changes("k", &wire).changes.len(), 1, "{}", odd.name);
+    }
+}
+
+proptest! {
+    #[test]
+    fn random_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
+        read_all(&bytes);
+    }
+
+    #[test]
+    fn damaged_replies_are_read_or_refused(
+        which in 0..2_usize, cut in 0..200_usize, at in 0..400_usize, byte in any::<u8>(),
+    ) {
+        let mut bytes = replies()[which].to_string().into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = byte;
+        bytes.truncate(bytes.len().saturating_sub(cut));
+        read_all(&bytes);
+    }
+}
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -10,8 +10,7 @@
 use super::orders::{Claim, OrderKey, Orders};
 use super::shutdown::Shutdown;
 use super::{
-    Clock, Config, Engine, HttpPlatform, Platform, Rank, Ranked, Settings, Workers, follow,
-    heartbeat, poison,
+    Clock, Config, Engine, Platform, Rank, Ranked, Settings, Workers, follow, heartbeat, poison,
 };
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
@@ -43,14 +42,13 @@
     ///
     /// # Errors
     /// When a thread cannot be started or a metric is refused.
-    pub(crate) fn start(settings: Settings) -> anyhow::Result<Arc<Self>> {
+    pub(crate) fn start(
+        settings: Settings,
+        platform: Arc<dyn Platform>,
+    ) -> anyhow::Result<Arc<Self>> {
         let clock = Clock::new();
         let carrier = Box::new(Links::new(clock));
         let engine = Engine::start(clock, carrier, Workers::Pool(settings.workers))?;
-        let platform: Arc<dyn Platform> = Arc::new(HttpPlatform::new(
-            settings.platform,
-            settings.platform_rates,
-        ));
         let members = Members::of(&settings);
         let (beats, end) = heartbeat::beats();
         let shutdown = Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop_times()));
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -79,8 +79,8 @@
 pub use budget::{Budgets, Extra};
 pub use limits::Limits;
 pub use platform::{
-    CallRates, Change, Changes, Expected, HttpPlatform, ListedInstance, Listing, Object, ObjectKey,
-    Platform, PlatformError,
+    CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
+    PlatformError,
 };
 pub use settings::{Settings, SettingsError};
 pub use suspects::Suspects;
@@ -106,7 +106,7 @@
 pub(crate) use members::{Members, Timing};
 pub(crate) use members::{Readiness, Role};
 pub(crate) use metrics::Metrics;
-pub(crate) use platform::Backoff;
+pub(crate) use platform::{Backoff, CallBucket};
 pub(crate) use shutdown::{Shutdown, Step, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstreams::ClassLatency;
--- a/src/process/platform/call_rate.rs
+++ b/src/process/platform/call_rate.rs
@@ -30,7 +30,7 @@
 
 /// Tokens for one kind of call.
 #[derive(Debug)]
-pub(super) struct CallBucket {
+pub(crate) struct CallBucket {
     rate: PerSecond,
     filled: Ranked<Filled>,
 }
@@ -42,7 +42,7 @@
 }
 
 impl CallBucket {
-    pub(super) fn new(rate: PerSecond) -> Self {
+    pub(crate) fn new(rate: PerSecond) -> Self {
         let filled = Filled {
             tokens: rate.0 * BURST_SECONDS,
             at: Instant::now(),
@@ -57,7 +57,7 @@
     ///
     /// # Errors
     /// [`PlatformError::Busy`] when there is none: the call is not made.
-    pub(super) fn take(&self, now: Instant) -> Result<(), PlatformError> {
+    pub(crate) fn take(&self, now: Instant) -> Result<(), PlatformError> {
         let mut filled = self.filled.lock();
         let passed = now.saturating_duration_since(filled.at).as_secs_f64();
         let most = self.rate.0 * BURST_SECONDS;
--- a/src/process/platform/fake.rs
+++ b/src/process/platform/fake.rs
@@ -34,6 +34,14 @@
         ObjectVersion(self.store.lock().write(key, Some(bytes)))
     }
 
+    /// Deletes an object whatever it was before.
+    pub(crate) fn remove(&self, key: &str) {
+        let mut store = self.store.lock();
+        if store.object(key).is_some() {
+            store.write(key, None);
+        }
+    }
+
     /// An object's value.
     pub(crate) fn value(&self, key: &str) -> Option<Value> {
         let object = self.store.lock().object(key)?;
--- a/src/process/platform/fake_store.rs
+++ b/src/process/platform/fake_store.rs
@@ -151,10 +151,12 @@
     }
 
     pub(super) fn list(&self, prefix: &str) -> Listing {
-        let keys = self.objects.keys().filter(|key| key.starts_with(prefix));
+        let objects = self.objects.keys().filter_map(|key| self.object(key));
         Listing {
             revision: Revision(self.revision),
-            objects: keys.filter_map(|key| self.object(key)).collect(),
+            objects: objects
+                .filter(|object| object.key.is_under(prefix))
+                .collect(),
         }
     }
 
@@ -193,16 +195,17 @@
     }
 
     fn changes_since(&self, prefix: &str, from: Revision) -> Vec<Change> {
-        let mut keys: Vec<&String> = Vec::new();
+        let mut keys: Vec<ObjectKey> = Vec::new();
         for (revision, key) in &self.history {
-            if *revision > from.0 && key.starts_with(prefix) && !keys.contains(&key) {
+            let key = ObjectKey::new(key);
+            if *revision > from.0 && key.is_under(prefix) && !keys.contains(&key) {
                 keys.push(key);
             }
         }
         keys.into_iter()
             .map(|key| Change {
-                key: ObjectKey::new(key),
-                object: self.object(key),
+                object: self.object(key.as_str()),
+                key,
             })
             .collect()
     }
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -1,11 +1,8 @@
-//! The edge towards the platform's object API: a trait, its types, and the client
-//! that speaks HTTP. What the API promises is in `docs/INTERFACES.md`, "Platform".
+//! The edge towards the platform's object API: a trait and its types. What the API
+//! promises is in `docs/INTERFACES.md`, "Platform"; the client is in `src/platform/`.
 
 mod backoff;
 mod call_rate;
-mod connections;
-mod http;
-mod wire;
 
 #[cfg(test)]
 #[allow(dead_code, reason = "each test uses a part of the fake")]
@@ -14,8 +11,8 @@
 mod platform_tests;
 
 pub(crate) use backoff::Backoff;
+pub(crate) use call_rate::CallBucket;
 pub use call_rate::CallRates;
-pub use http::HttpPlatform;
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -24,7 +21,7 @@
 
 use crate::types::{FailureDomain, InstanceName, ObjectVersion, Region, Revision, Span};
 
-/// The name of an object; parts are joined by `/`.
+/// The kind and the name of an object, joined by `/`; a name may have parts of its own.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ObjectKey(String);
 
@@ -38,11 +35,11 @@
     /// Whether the platform can hold an object of this key.
     ///
     /// # Errors
-    /// [`PlatformError::Rejected`] when a part of the key is empty or a step in a path,
-    /// which HTTP would rewrite on the way.
+    /// [`PlatformError::Rejected`] when it has no kind and name, or when a part is empty
+    /// or a step in a path, which HTTP would rewrite on the way.
     pub fn check(&self) -> Result<(), PlatformError> {
         let is_step = |part: &str| matches!(part, "" | "." | "..");
-        if self.0.split('/').any(is_step) {
+        if !self.0.contains('/') || self.0.split('/').any(is_step) {
             return Err(PlatformError::Rejected(format!(
                 "{:?} is not a key",
                 self.0
@@ -51,6 +48,16 @@
         Ok(())
     }
 
+    /// Whether the key belongs to what a listing or a watch of `prefix` asks for: objects
+    /// of one kind, or those of it whose names begin alike.
+    #[must_use]
+    pub fn is_under(&self, prefix: &str) -> bool {
+        match self.0.strip_prefix(prefix) {
+            Some(rest) => prefix.contains('/') || rest.starts_with('/'),
+            None => false,
+        }
+    }
+
     /// The key as text.
     #[must_use]
     pub fn as_str(&self) -> &str {
--- a/src/process/platform/platform_tests.rs
+++ b/src/process/platform/platform_tests.rs
@@ -1,16 +1,11 @@
-//! Pauses grow and are spread, calls keep to their rate, and no bytes that the platform
-//! replies with make a decoder panic.
+//! Pauses grow and are spread, calls keep to their rate, and a prefix asks for one kind.
 
 use std::time::{Duration, Instant};
 
-use proptest::prelude::*;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
-use serde_json::{Value, json};
 
-use super::call_rate::CallBucket;
-use super::wire::{ChangesWire, InstancesWire, ListingWire, ObjectWire};
-use super::{Backoff, Changes, ListedInstance, Listing, Object, PlatformError};
+use super::{Backoff, CallBucket, ObjectKey};
 use crate::types::{PerSecond, Span};
 
 #[test]
@@ -76,52 +71,30 @@
     }
 }
 
-fn read_all(bytes: &[u8]) {
-    let instances = serde_json::from_slice::<InstancesWire>(bytes);
-    for instance in instances.into_iter().flat_map(|wire| wire.instances) {
-        ListedInstance::try_from(instance).ok();
-    }
-    let read: [Option<Result<(), PlatformError>>; 3] = [
-        serde_json::from_slice::<ObjectWire>(bytes)
-            .ok()
-            .map(|wire| Object::try_from(wire).map(drop)),
-        serde_json::from_slice::<ListingWire>(bytes)
-            .ok()
-            .map(|wire| Listing::try_from(wire).map(drop)),
-        serde_json::from_slice::<ChangesWire>(bytes)
-            .ok()
-            .map(|wire| Changes::try_from(wire).map(drop)),
-    ];
-    drop(read);
+struct Asked {
+    prefix: &'static str,
+    key: &'static str,
+    wanted: bool,
 }
 
-fn replies() -> Vec<Value> {
-    let object = json!({ "key": "a", "version": 3, "value": { "n": 1 } });
-    vec![
-        json!({ "revision": 9, "objects": [object] }),
-        json!({ "revision": 9, "changes": [{ "key": "a", "object": object }] }),
-        json!({ "instances": [{
-            "name": "one", "addr": "127.0.0.1:1", "peer_addr": "[::1]:2",
-            "failure_domain": "suva-a", "region": "central", "leaving": true,
-        }] }),
-        object,
-    ]
-}
-
-proptest! {
-    #[test]
-    fn random_bytes_are_read_or_refused(bytes in proptest::collection::vec(any::<u8>(), 0..512)) {
-        read_all(&bytes);
-    }
-
-    #[test]
-    fn damaged_replies_are_read_or_refused(
-        which in 0..4_usize, cut in 0..200_usize, at in 0..200_usize, byte in any::<u8>(),
-    ) {
-        let mut bytes = replies()[which].to_string().into_bytes();
-        let at = at % bytes.len();
-        bytes[at] = byte;
-        bytes.truncate(bytes.len().saturating_sub(cut));
-        read_all(&bytes);
+#[test]
+fn a_prefix_asks_for_a_kind_or_for_names_of_it_that_begin_alike() {
+    let rows = [
+        ("config", "config/classes", true),
+        ("config/", "config/classes", true),
+        ("config/cl", "config/classes", true),
+        ("config/routes", "config/classes", false),
+        ("conf", "config/classes", false),
+        ("cells/suva-a/", "cells/suva-a/0", true),
+        ("cells/suva-a/", "cells/suva-ab/0", false),
+    ];
+    let rows = rows.map(|(prefix, key, wanted)| Asked {
+        prefix,
+        key,
+        wanted,
+    });
+    for row in rows {
+        let is_under = ObjectKey::new(row.key).is_under(row.prefix);
+        assert_eq!(is_under, row.wanted, "{} under {}", row.key, row.prefix);
     }
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -24,15 +24,15 @@
     (Step::Get("a/b"), number(2)),
 ] })]
 #[case::only_the_expected_version_is_replaced(Case { steps: vec![
-    (Step::Put("a", 1, At::Absent), Seen::Done),
-    (Step::Put("a", 2, At::Absent), Seen::Conflict),
-    (Step::Put("a", 3, At::Newest), Seen::Done),
-    (Step::Put("a", 4, At::Older), Seen::Conflict),
-    (Step::Delete("a", At::Older), Seen::Conflict),
-    (Step::Get("a"), number(3)),
-    (Step::Delete("a", At::Newest), Seen::Done),
-    (Step::Delete("a", At::Older), Seen::Conflict),
-    (Step::Get("a"), Seen::Nothing),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
+    (Step::Put("k/a", 2, At::Absent), Seen::Conflict),
+    (Step::Put("k/a", 3, At::Newest), Seen::Done),
+    (Step::Put("k/a", 4, At::Older), Seen::Conflict),
+    (Step::Delete("k/a", At::Older), Seen::Conflict),
+    (Step::Get("k/a"), number(3)),
+    (Step::Delete("k/a", At::Newest), Seen::Done),
+    (Step::Delete("k/a", At::Older), Seen::Conflict),
+    (Step::Get("k/a"), Seen::Nothing),
 ] })]
 #[case::a_prefix_is_listed_in_order(Case { steps: vec![
     (Step::Put("p/b", 1, At::Absent), Seen::Done),
@@ -53,79 +53,95 @@
     (Step::Put("a//b", 1, At::Absent), Seen::Rejected),
     (Step::Delete("./a", At::Absent), Seen::Rejected),
 ] })]
+#[case::a_key_has_a_kind_and_a_name(Case { steps: vec![
+    (Step::Get("a"), Seen::Rejected),
+    (Step::Put("a", 1, At::Absent), Seen::Rejected),
+    (Step::Delete("a", At::Absent), Seen::Rejected),
+] })]
+#[case::a_listing_of_many_pages_is_whole(Case { steps: vec![
+    (Step::Put("k/1", 1, At::Absent), Seen::Done),
+    (Step::Put("k/2", 1, At::Absent), Seen::Done),
+    (Step::Put("k/3", 1, At::Absent), Seen::Done),
+    (Step::Put("k/4/a", 1, At::Absent), Seen::Done),
+    (Step::Put("k/4/b", 1, At::Absent), Seen::Done),
+    (Step::Put("k/5", 1, At::Absent), Seen::Done),
+    (Step::Put("k/6", 1, At::Absent), Seen::Done),
+    (Step::List("k/"), keys(&["k/1", "k/2", "k/3", "k/4/a", "k/4/b", "k/5", "k/6"])),
+    (Step::List("k/4/"), keys(&["k/4/a", "k/4/b"])),
+] })]
 #[case::values_are_bounded(Case { steps: vec![
-    (Step::PutBytes("a", || format!("\"{}\"", "x".repeat((1 << 20) - 2)).into_bytes()), Seen::Done),
-    (Step::PutBytes("b", || format!("\"{}\"", "x".repeat((1 << 20) - 1)).into_bytes()), Seen::TooLarge),
-    (Step::PutBytes("b", || b"no json".to_vec()), Seen::Rejected),
-    (Step::Get("b"), Seen::Nothing),
+    (Step::PutBytes("k/a", || format!("\"{}\"", "x".repeat((1 << 20) - 2)).into_bytes()), Seen::Done),
+    (Step::PutBytes("k/b", || format!("\"{}\"", "x".repeat((1 << 20) - 1)).into_bytes()), Seen::TooLarge),
+    (Step::PutBytes("k/b", || b"no json".to_vec()), Seen::Rejected),
+    (Step::Get("k/b"), Seen::Nothing),
 ] })]
 #[case::a_watch_shows_each_changed_object_as_it_is_now(Case { steps: vec![
     (Step::Put("w/a", 1, At::Absent), Seen::Done),
     (Step::Put("w/a", 2, At::Newest), Seen::Done),
     (Step::Put("w/b", 1, At::Absent), Seen::Done),
-    (Step::Put("x", 1, At::Absent), Seen::Done),
+    (Step::Put("k/x", 1, At::Absent), Seen::Done),
     (Step::Delete("w/b", At::Newest), Seen::Done),
     (Step::Watch("w/"), keys(&["w/a", "-w/b"])),
     (Step::Watch("none"), keys(&[])),
 ] })]
 #[case::a_compacted_history_is_said(Case { steps: vec![
-    (Step::Put("a", 1, At::Absent), Seen::Done),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
     (Step::Compact, Seen::Done),
-    (Step::Watch(""), Seen::Compacted),
-    (Step::List(""), keys(&["a"])),
+    (Step::Watch("k"), Seen::Compacted),
+    (Step::List("k"), keys(&["k/a"])),
 ] })]
 #[case::a_lost_reply_hides_a_write_that_took_effect(Case { steps: vec![
     (Step::Fault(|faults| faults.lose_replies = 1), Seen::Done),
-    (Step::Put("a", 1, At::Absent), Seen::Unknown),
-    (Step::Get("a"), number(1)),
-    (Step::Put("a", 1, At::Absent), Seen::Conflict),
+    (Step::Put("k/a", 1, At::Absent), Seen::Unknown),
+    (Step::Get("k/a"), number(1)),
+    (Step::Put("k/a", 1, At::Absent), Seen::Conflict),
 ] })]
 #[case::a_lost_write_looks_the_same(Case { steps: vec![
     (Step::Fault(|faults| faults.lose_writes = 1), Seen::Done),
-    (Step::Put("a", 1, At::Absent), Seen::Unknown),
-    (Step::Get("a"), Seen::Nothing),
-    (Step::Put("a", 1, At::Absent), Seen::Done),
+    (Step::Put("k/a", 1, At::Absent), Seen::Unknown),
+    (Step::Get("k/a"), Seen::Nothing),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
 ] })]
 #[case::a_rival_comes_first(Case { steps: vec![
-    (Step::Put("a", 1, At::Absent), Seen::Done),
-    (Step::Rival("a", 7), Seen::Done),
-    (Step::Put("a", 2, At::Newest), Seen::Conflict),
-    (Step::Get("a"), number(7)),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
+    (Step::Rival("k/a", 7), Seen::Done),
+    (Step::Put("k/a", 2, At::Newest), Seen::Conflict),
+    (Step::Get("k/a"), number(7)),
 ] })]
 #[case::shed_calls_have_no_effect(Case { steps: vec![
     (Step::Fault(|faults| faults.busy = 2), Seen::Done),
-    (Step::Put("a", 1, At::Absent), Seen::Busy),
-    (Step::Get("a"), Seen::Busy),
-    (Step::Get("a"), Seen::Nothing),
+    (Step::Put("k/a", 1, At::Absent), Seen::Busy),
+    (Step::Get("k/a"), Seen::Busy),
+    (Step::Get("k/a"), Seen::Nothing),
 ] })]
 #[case::an_outage_fails_every_call_and_ends(Case { steps: vec![
-    (Step::Put("a", 1, At::Absent), Seen::Done),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
     (Step::Fault(|faults| faults.down = true), Seen::Done),
-    (Step::Get("a"), Seen::Outage),
-    (Step::List(""), Seen::Outage),
+    (Step::Get("k/a"), Seen::Outage),
+    (Step::List("k"), Seen::Outage),
     (Step::Watch("none"), Seen::Outage),
-    (Step::Put("b", 2, At::Absent), Seen::Outage),
-    (Step::Delete("a", At::Older), Seen::Outage),
+    (Step::Put("k/b", 2, At::Absent), Seen::Outage),
+    (Step::Delete("k/a", At::Older), Seen::Outage),
     (Step::Fault(|faults| faults.down = false), Seen::Done),
-    (Step::List(""), keys(&["a"])),
+    (Step::List("k"), keys(&["k/a"])),
 ] })]
 #[case::an_ended_watch_shows_no_change(Case { steps: vec![
     (Step::Fault(|faults| faults.end_watches = 1), Seen::Done),
-    (Step::Watch(""), keys(&[])),
-    (Step::Put("a", 1, At::Absent), Seen::Done),
-    (Step::Watch(""), keys(&["a"])),
+    (Step::Watch("k"), keys(&[])),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
+    (Step::Watch("k"), keys(&["k/a"])),
 ] })]
 #[case::slowness_delays_and_no_more(Case { steps: vec![
     (Step::Fault(|faults| faults.slow = Duration::from_millis(50)), Seen::Done),
-    (Step::Put("a", 1, At::Absent), Seen::Done),
-    (Step::Get("a"), number(1)),
+    (Step::Put("k/a", 1, At::Absent), Seen::Done),
+    (Step::Get("k/a"), number(1)),
 ] })]
 #[async_std::test]
 async fn the_platform_keeps_its_contract(#[case] case: Case) {
     for subject in Subject::both().await {
         let mut run = Run {
             subject: &subject,
-            begun: subject.api().list("").await.unwrap().revision,
+            begun: subject.api().list("k").await.unwrap().revision,
             versions: Vec::new(),
         };
         for (number, (step, wanted)) in case.steps.iter().enumerate() {
@@ -143,11 +159,11 @@
 #[async_std::test]
 async fn a_waiting_watch_is_told_of_a_change() {
     for subject in Subject::both().await {
-        let from = subject.api().list("").await.unwrap().revision;
-        let watch = subject.api().watch("a", from, Span::from_secs(10));
+        let from = subject.api().list("k").await.unwrap().revision;
+        let watch = subject.api().watch("k/a", from, Span::from_secs(10));
         let write = async {
             async_std::task::sleep(Duration::from_millis(50)).await;
-            subject.state().set("a", &json!(1));
+            subject.state().set("k/a", &json!(1));
         };
         let (changes, ()) = futures::join!(watch, write);
         let changes = changes.unwrap();
@@ -182,11 +198,11 @@
             reads: 0,
             writes: 0,
         });
-        let key = ObjectKey::new("a");
+        let key = ObjectKey::new("k/a");
         assert_eq!(subject.api().get(&key).await, Err(PlatformError::Busy));
         let put = subject.api().put(&key, b"1".to_vec(), Expected::Absent);
         assert_eq!(put.await, Err(PlatformError::Busy));
-        assert_eq!(subject.state().value("a"), None);
+        assert_eq!(subject.state().value("k/a"), None);
         let calls = subject.state().calls();
         assert_eq!((calls.reads, calls.writes), (1, 1), "{}", subject.name());
     }
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -7,7 +7,7 @@
 
 use async_std::io::{ReadExt, WriteExt};
 use hyssopwalk::{
-    CallRates, Expected, HttpPlatform, ObjectKey, PerSecond, Platform, PlatformError,
+    CallRates, Expected, ObjectKey, ObjectStore, PerSecond, Platform, PlatformError, Span,
 };
 use serde_json::json;
 use standin::contract::FREELY;
@@ -15,10 +15,10 @@
 use standin::platform::Platform as StandIn;
 
 fn key() -> ObjectKey {
-    ObjectKey::new("a")
+    ObjectKey::new("k/a")
 }
 
-async fn put(client: &HttpPlatform) -> Result<(), PlatformError> {
+async fn put(client: &ObjectStore) -> Result<(), PlatformError> {
     let key = key();
     let put = client.put(&key, b"1".to_vec(), Expected::Absent);
     put.await.map(drop)
@@ -27,7 +27,7 @@
 #[async_std::test]
 async fn where_nothing_listens_a_write_had_no_effect() {
     let nothing_listens: SocketAddr = "127.0.0.1:1".parse().unwrap();
-    let client = HttpPlatform::new(nothing_listens, FREELY);
+    let client = ObjectStore::new(nothing_listens, FREELY);
     let error = put(&client).await.unwrap_err();
     assert!(matches!(error, PlatformError::Unreachable(_)), "{error}");
     assert!(error.had_no_effect());
@@ -36,7 +36,7 @@
 #[async_std::test]
 async fn calls_one_after_another_share_a_connection() {
     let standin = StandIn::start().await;
-    let client = HttpPlatform::new(standin.addr, FREELY);
+    let client = ObjectStore::new(standin.addr, FREELY);
     for _ in 0..50 {
         client.get(&key()).await.unwrap();
     }
@@ -47,7 +47,7 @@
 async fn calls_at_the_same_time_have_connections_of_their_own() {
     let standin = StandIn::start().await;
     standin.faults(|faults| faults.slow = Duration::from_millis(100));
-    let client = HttpPlatform::new(standin.addr, FREELY);
+    let client = ObjectStore::new(standin.addr, FREELY);
     let key = key();
     let calls = (0..20).map(|_| client.get(&key));
     let read = futures::future::join_all(calls).await;
@@ -74,16 +74,16 @@
     ];
     for fault in faults {
         let standin = StandIn::start().await;
-        standin.set("b", json!(1));
-        let client = HttpPlatform::new(standin.addr, FREELY);
+        standin.set("k/b", json!(1));
+        let client = ObjectStore::new(standin.addr, FREELY);
         client.get(&key()).await.unwrap();
         (fault.cause)(&standin);
-        let read = client.get(&ObjectKey::new("b")).await;
+        let read = client.get(&ObjectKey::new("k/b")).await;
         assert!(matches!(read, Ok(Some(_))), "{}: {read:?}", fault.name);
 
         (fault.cause)(&standin);
         match put(&client).await {
-            Ok(()) => assert_eq!(standin.value("a"), Some(json!(1))),
+            Ok(()) => assert_eq!(standin.value("k/a"), Some(json!(1))),
             Err(error) => {
                 assert!(!error.had_no_effect(), "{}: {error}", fault.name);
                 put(&client).await.unwrap();
@@ -92,6 +92,34 @@
     }
 }
 
+/// A watch has waited its time out on a connection that went silent, so whoever follows the
+/// store decides at once whom to ask instead.
+#[async_std::test]
+async fn a_watch_on_a_silent_connection_is_not_repeated() {
+    let standin = StandIn::start().await;
+    let client = ObjectStore::new(standin.addr, FREELY);
+    let from = client.list("k").await.unwrap().revision;
+    standin.silence_connections();
+    let watched = client.watch("k", from, Span::from_millis(50)).await;
+    assert!(
+        matches!(watched, Err(PlatformError::Unsettled(_))),
+        "{watched:?}"
+    );
+    assert_eq!(standin.connections(), 1);
+}
+
+#[async_std::test]
+async fn a_watch_on_a_connection_that_was_cut_goes_over_a_new_one() {
+    let standin = StandIn::start().await;
+    let client = ObjectStore::new(standin.addr, FREELY);
+    let from = client.list("k").await.unwrap().revision;
+    standin.cut_connections();
+    standin.set("k/a", json!(1));
+    let watched = client.watch("k", from, Span::from_secs(5)).await.unwrap();
+    assert_eq!(watched.changes.len(), 1);
+    assert_eq!(standin.connections(), 2);
+}
+
 #[async_std::test]
 async fn an_instance_keeps_to_its_own_rates() {
     let standin = StandIn::start().await;
@@ -99,7 +127,7 @@
         reads: PerSecond(0.001),
         writes: PerSecond(500.0),
     };
-    let client = HttpPlatform::new(standin.addr, rates);
+    let client = ObjectStore::new(standin.addr, rates);
     assert_eq!(client.get(&key()).await, Err(PlatformError::Busy));
     assert_eq!(standin.calls().reads, 0);
     put(&client).await.unwrap();
@@ -133,7 +161,7 @@
         },
         Reply {
             name: "half a body",
-            bytes: || format!("{HEAD}content-length: 100\r\n\r\n{{\"key\"").into_bytes(),
+            bytes: || format!("{HEAD}content-length: 100\r\n\r\n{{\"meta\"").into_bytes(),
         },
         Reply {
             name: "no JSON",
@@ -145,7 +173,7 @@
         },
         Reply {
             name: "a version that is none",
-            bytes: || body(r#"{"key":"a","version":-1,"value":1}"#),
+            bytes: || body(r#"{"meta":{"name":"a","revision":-1},"spec":1}"#),
         },
         Reply {
             name: "deeply nested",
@@ -170,7 +198,7 @@
     ];
     for reply in replies {
         let addr = serve((reply.bytes)()).await;
-        let client = HttpPlatform::new(addr, FREELY);
+        let client = ObjectStore::new(addr, FREELY);
         let read = client.get(&key()).await;
         assert!(read.is_err(), "{}: {read:?}", reply.name);
         let error = put(&client).await.unwrap_err();
@@ -200,12 +228,12 @@
         reads: u64::MAX,
         writes: u64::MAX,
     });
-    let kept = HttpPlatform::new(standin.addr, FREELY);
+    let kept = ObjectStore::new(standin.addr, FREELY);
     for (name, new_each) in [("kept", false), ("new", true)] {
         let begun = Instant::now();
         for _ in 0..CALLS {
             if new_each {
-                let client = HttpPlatform::new(standin.addr, FREELY);
+                let client = ObjectStore::new(standin.addr, FREELY);
                 client.get(&key()).await.unwrap();
             } else {
                 kept.get(&key()).await.unwrap();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,6 +9,8 @@
 mod proxy;
 mod replica;
 mod site;
+#[path = "../standin/mod.rs"]
+mod standin;
 mod store;
 
 use std::collections::HashMap;
@@ -94,11 +96,11 @@
         Fault::ReplicaLink(at, harm) => site.replicas[at].proxy.set_harm(harm),
         Fault::ResetLinks(at) => site.replicas[at].proxy.reset(),
         Fault::StoreLink(at, harm) => site.instances[at].store.set_harm(harm),
-        Fault::Store(mood) => site.store.set_mood(mood),
-        Fault::ForgetHistory => site.store.forget(),
+        Fault::Store(mood) => mood.befall(&site.store),
+        Fault::ForgetHistory => site.store.compact(),
         Fault::Lapse(at) => {
             let id = site.replicas[at].replica.id.clone();
-            site.store.delete("servers", &id);
+            site.store.remove(&format!("servers/{id}"));
         }
         Fault::Pause(at) if !site.instances[at].has_ended() => {
             site.instances[at].signal(Signal::STOP);
@@ -117,11 +119,12 @@
         Fault::Manner(at, _) => site.replicas[at].replica.set_manner(Manner::Well),
         Fault::ReplicaLink(at, _) => site.replicas[at].proxy.set_harm(Harm::None),
         Fault::StoreLink(at, _) => site.instances[at].store.set_harm(Harm::None),
-        Fault::Store(_) => site.store.set_mood(Mood::Well),
+        Fault::Store(_) => Mood::Well.befall(&site.store),
         Fault::Lapse(at) => {
             let placed = &site.replicas[at];
             let entry = placed.replica.entry(placed.proxy.addr, "ready");
-            site.store.put("servers", &placed.replica.id, &entry);
+            site.store
+                .set(&format!("servers/{}", placed.replica.id), entry);
         }
         Fault::Pause(at) if !site.instances[at].has_ended() => {
             site.instances[at].signal(Signal::CONT);
--- a/tests/soak/site.rs
+++ b/tests/soak/site.rs
@@ -11,7 +11,7 @@
 
 use super::proxy::Proxy;
 use super::replica::{Replica, Runs};
-use super::store::Store;
+use super::standin::platform::Platform;
 
 pub(crate) const HOST: &str = "soak.example";
 pub(crate) const INSTANCES: usize = 3;
@@ -40,7 +40,7 @@
 }
 
 pub(crate) struct Site {
-    pub(crate) store: Store,
+    pub(crate) store: Platform,
     pub(crate) instances: Vec<Instance>,
     pub(crate) replicas: Vec<Placed>,
     pub(crate) runs: Runs,
@@ -50,7 +50,8 @@
 
 impl Site {
     pub(crate) async fn start(name: &str) -> Self {
-        let (store, store_addr) = Store::start().await;
+        let store = Platform::start().await;
+        let store_addr = store.addr;
         let runs: Runs = Arc::new(Mutex::new(Vec::new()));
         let mut site = Self {
             store,
@@ -97,8 +98,8 @@
         let id = format!("i-{}", self.born);
         let replica = Replica::start(service, &id, self.born, &self.runs).await;
         let proxy = Proxy::start(replica.addr).await;
-        self.store
-            .put("servers", &id, &replica.entry(proxy.addr, "ready"));
+        let entry = replica.entry(proxy.addr, "ready");
+        self.store.set(&format!("servers/{id}"), entry);
         self.replicas.push(Placed { replica, proxy });
     }
 
@@ -112,7 +113,7 @@
         let replica = Replica::start(&service, &id, self.born, &self.runs).await;
         placed.proxy.set_target(replica.addr);
         let entry = replica.entry(placed.proxy.addr, "ready");
-        self.store.put("servers", &id, &entry);
+        self.store.set(&format!("servers/{id}"), entry);
         placed.replica = replica;
     }
 
@@ -146,7 +147,7 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
         });
-        self.store.put("config", "main", &config);
+        self.store.set("config/main", config);
     }
 }
 
--- a/tests/standin/contract.rs
+++ b/tests/standin/contract.rs
@@ -1,8 +1,8 @@
 //! One step of the platform's contract, on the client over HTTP or on the fake.
 
 use hyssopwalk::{
-    CallRates, Expected, HttpPlatform, ObjectKey, ObjectVersion, PerSecond, Platform,
-    PlatformError, Revision, Span,
+    CallRates, Expected, ObjectKey, ObjectStore, ObjectVersion, PerSecond, Platform, PlatformError,
+    Revision, Span,
 };
 use serde_json::{Value, json};
 
@@ -17,13 +17,13 @@
 /// One of the two platforms, with the state that causes its faults.
 pub(crate) enum Subject {
     Fake(Box<FakePlatform>),
-    Http(StandIn, Box<HttpPlatform>),
+    Http(StandIn, Box<ObjectStore>),
 }
 
 impl Subject {
     pub(crate) async fn both() -> [Self; 2] {
         let standin = StandIn::start().await;
-        let client = HttpPlatform::new(standin.addr, FREELY);
+        let client = ObjectStore::new(standin.addr, FREELY);
         [
             Self::Fake(Box::default()),
             Self::Http(standin, Box::new(client)),
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod operator;
 pub(crate) mod platform;
 mod platform_state;
+mod platform_wire;
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -2,21 +2,25 @@
 //! calls, is the fake that unit tests use; what is here is HTTP and its connections.
 
 use std::net::SocketAddr;
-use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use async_std::net::{TcpListener, TcpStream};
 use hyssopwalk::{
-    Changes, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion, Platform as Api,
-    PlatformError, Revision, Span,
+    Changes, Expected, Object, ObjectKey, ObjectVersion, Platform as _, PlatformError, Revision,
+    Span,
 };
-use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
-use tide::http::{Body, Method, Request, Response, StatusCode};
+use tide::http::{Body, Method, Request, Response};
 
 pub(crate) use super::platform_state::{Calls, FakePlatform, Faults, Rates};
+use super::platform_wire::{
+    Written, decoded, event, instance_wire, key, listed_instance, name, object_wire, parameter,
+    read, rejected, reply, status,
+};
 
+/// Objects on a page of a listing, few so that tests turn pages.
+const PAGE: usize = 3;
 /// What the platform says that it takes, in calls a second.
 const RATES: Rates = Rates {
     reads: 2_000,
@@ -59,6 +63,11 @@
         self.fake.set(key, &value).0
     }
 
+    /// Deletes an object whatever it was before.
+    pub(crate) fn remove(&self, key: &str) {
+        self.fake.remove(key);
+    }
+
     /// An object's value.
     pub(crate) fn value(&self, key: &str) -> Option<Value> {
         self.fake.value(key)
@@ -109,6 +118,12 @@
         self.connections.cut_below.store(opened, Ordering::SeqCst);
     }
 
+    /// Closes every connection at its next request, also new ones, or no longer does.
+    pub(crate) fn cut_all(&self, cut: bool) {
+        let below = if cut { u64::MAX } else { 0 };
+        self.connections.cut_below.store(below, Ordering::SeqCst);
+    }
+
     async fn accept(self, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
             let number = self.connections.opened.fetch_add(1, Ordering::SeqCst);
@@ -147,153 +162,81 @@
     }
 
     async fn handle(&self, mut req: Request) -> Result<Value, PlatformError> {
-        let path = req.url().path().to_owned();
-        match (req.method(), path.as_str()) {
-            (Method::Get, "/v1/instances") => instances(&*self.fake).await,
-            (Method::Get, "/v1/objects") => {
-                let listing = self.fake.list(&parameter(&req, "prefix")).await?;
-                Ok(listing_wire(&listing))
-            }
-            (Method::Get, "/v1/watch") => self.watch(&req).await,
-            (method, path) => match path.strip_prefix("/v1/objects/") {
-                Some(key) => {
-                    let key = ObjectKey::new(percent_decode_str(key).decode_utf8_lossy());
-                    let expected = expected(&req)?;
-                    let body = req.body_bytes().await.map_err(|error| rejected(&error))?;
-                    self.object(method, &key, body, expected).await
-                }
-                None => Ok(Value::Null),
+        let body = req.body_bytes().await.map_err(|error| rejected(&error))?;
+        let path = req.url().path().strip_prefix("/api/objects/");
+        let Some(path) = path.map(str::to_owned) else {
+            return Ok(Value::Null);
+        };
+        match (req.method(), path.split_once('/')) {
+            (Method::Get, None) => match parameter(&req, "watch") {
+                Some(from) => self.watch(&req, &decoded(&path), &from).await,
+                None => self.page(&req, &decoded(&path)).await,
             },
+            (Method::Get, Some(parts)) => {
+                let object = self.fake.get(&key(parts)).await?;
+                Ok(object.as_ref().map_or(Value::Null, object_wire))
+            }
+            (Method::Post, None) => {
+                let written: Written = read(&body)?;
+                let key = ObjectKey::new(format!("{}/{}", decoded(&path), written.meta.name));
+                self.write(&key, &written, Expected::Absent).await
+            }
+            (Method::Put, Some(parts)) => {
+                let written: Written = read(&body)?;
+                let version = written
+                    .meta
+                    .revision
+                    .ok_or_else(|| rejected(&"no revision"))?;
+                let expected = Expected::Version(ObjectVersion(version));
+                self.write(&key(parts), &written, expected).await
+            }
+            (Method::Delete, Some(parts)) => {
+                let version = parameter(&req, "revision").unwrap_or_default();
+                let version = version.parse().map_err(|error| rejected(&error))?;
+                self.fake.delete(&key(parts), version).await?;
+                Ok(json!({}))
+            }
+            (method, _) => Err(rejected(&method)),
         }
     }
 
-    async fn object(
+    async fn write(
         &self,
-        method: Method,
         key: &ObjectKey,
-        body: Vec<u8>,
+        written: &Written,
         expected: Expected,
     ) -> Result<Value, PlatformError> {
-        match (method, expected) {
-            (Method::Get, _) => Ok(object_wire(self.fake.get(key).await?.as_ref())),
-            (Method::Put, expected) => {
-                let version = self.fake.put(key, body, expected).await?;
-                Ok(json!({ "version": version.0 }))
-            }
-            (Method::Delete, Expected::Version(version)) => {
-                self.fake.delete(key, version).await?;
-                Ok(json!({}))
-            }
-            _ => Err(PlatformError::Rejected(format!("{method}"))),
+        let spec = written.spec.get().as_bytes().to_vec();
+        let version = self.fake.put(key, spec, expected).await?;
+        Ok(object_wire(&Object {
+            key: key.clone(),
+            version,
+            value: written.spec.get().as_bytes().to_vec(),
+        }))
+    }
+
+    async fn page(&self, req: &Request, kind: &str) -> Result<Value, PlatformError> {
+        if kind == "instances" {
+            let listed = self.fake.instances().await?;
+            let items: Vec<Value> = listed.iter().map(instance_wire).collect();
+            return Ok(json!({ "items": items, "more": false, "current_rev": 0 }));
         }
+        let after = parameter(req, "after").unwrap_or_default();
+        let listing = self.fake.list(kind).await?;
+        let mut objects = listing.objects;
+        objects.retain(|object| name(&object.key) > after.as_str());
+        let more = objects.len() > PAGE;
+        objects.truncate(PAGE);
+        let items: Vec<Value> = objects.iter().map(object_wire).collect();
+        Ok(json!({ "items": items, "more": more, "current_rev": listing.revision.0 }))
+    }
+
+    async fn watch(&self, req: &Request, kind: &str, from: &str) -> Result<Value, PlatformError> {
+        let wait = parameter(req, "wait_ms").and_then(|wait| wait.parse().ok());
+        let wait = Span::from_millis(wait.unwrap_or_default());
+        let from = Revision(from.parse().unwrap_or_default());
+        let Changes { revision, changes } = self.fake.watch(kind, from, wait).await?;
+        let events: Vec<Value> = changes.iter().map(event).collect();
+        Ok(json!({ "events": events, "current_rev": revision.0 }))
     }
-
-    async fn watch(&self, req: &Request) -> Result<Value, PlatformError> {
-        let number = |name| parameter(req, name).parse().unwrap_or(0);
-        let wait = Span::from_millis(number("wait_ms"));
-        let from = Revision(number("from"));
-        let prefix = parameter(req, "prefix");
-        let Changes { revision, changes } = self.fake.watch(&prefix, from, wait).await?;
-        let changes: Vec<Value> = changes
-            .iter()
-            .map(|change| {
-                json!({ "key": change.key.as_str(), "object": object_wire(change.object.as_ref()) })
-            })
-            .collect();
-        Ok(json!({ "revision": revision.0, "changes": changes }))
-    }
-}
-
-fn status(error: &PlatformError) -> StatusCode {
-    match error {
-        PlatformError::Conflict => StatusCode::PreconditionFailed,
-        PlatformError::Compacted => StatusCode::Gone,
-        PlatformError::TooLarge => StatusCode::PayloadTooLarge,
-        PlatformError::Busy => StatusCode::TooManyRequests,
-        PlatformError::Rejected(_) => StatusCode::BadRequest,
-        PlatformError::Unreachable(_)
-        | PlatformError::Unsettled(_)
-        | PlatformError::Protocol(_) => StatusCode::InternalServerError,
-    }
-}
-
-fn reply(status: impl TryInto<StatusCode, Error: std::fmt::Debug>, body: Body) -> Response {
-    let mut res = Response::new(status);
-    res.set_body(body);
-    res
-}
-
-fn rejected(error: &impl std::fmt::Display) -> PlatformError {
-    PlatformError::Rejected(error.to_string())
-}
-
-fn parameter(req: &Request, name: &str) -> String {
-    let found = req.url().query_pairs().find(|(key, _)| key == name);
-    found
-        .map(|(_, value)| value.into_owned())
-        .unwrap_or_default()
-}
-
-fn expected(req: &Request) -> Result<Expected, PlatformError> {
-    match req.header("If-Match") {
-        None => Ok(Expected::Absent),
-        Some(version) => {
-            let version: ObjectVersion = version
-                .last()
-                .as_str()
-                .parse()
-                .map_err(|error| rejected(&error))?;
-            Ok(Expected::Version(version))
-        }
-    }
-}
-
-async fn instances(api: &impl Api) -> Result<Value, PlatformError> {
-    let listed = api.instances().await?;
-    let instances: Vec<Value> = listed
-        .iter()
-        .map(|instance| {
-            json!({
-                "name": instance.name.as_str(),
-                "addr": instance.addr.to_string(),
-                "peer_addr": instance.peer_addr.to_string(),
-                "failure_domain": instance.failure_domain.as_str(),
-                "region": instance.region.as_str(),
-                "leaving": instance.leaving,
-            })
-        })
-        .collect();
-    Ok(json!({ "instances": instances }))
-}
-
-fn listing_wire(listing: &Listing) -> Value {
-    let objects = listing
-        .objects
-        .iter()
-        .map(|object| object_wire(Some(object)));
-    json!({ "revision": listing.revision.0, "objects": objects.collect::<Vec<_>>() })
-}
-
-fn object_wire(object: Option<&Object>) -> Value {
-    let Some(object) = object else {
-        return Value::Null;
-    };
-    let value: Value = serde_json::from_slice(&object.value).expect("a JSON value");
-    json!({ "key": object.key.as_str(), "version": object.version.0, "value": value })
-}
-
-fn listed_instance(value: &Value) -> ListedInstance {
-    ListedInstance {
-        name: text(value, "name"),
-        addr: text(value, "addr"),
-        peer_addr: text(value, "peer_addr"),
-        failure_domain: text(value, "failure_domain"),
-        region: text(value, "region"),
-        leaving: value["leaving"].as_bool().unwrap_or(false),
-    }
-}
-
-fn text<T: FromStr<Err: std::fmt::Debug>>(value: &Value, name: &str) -> T {
-    let text = value[name].as_str().expect("a text");
-    text.parse().expect("a value of its type")
 }
