Replicas that shed a part of their legs get few while another takes them

So the near replica stayed the quickest and got nine legs of ten; 5,194 legs were shed, the shared repeats ran out and 348 answers were 504.

Ruled out: a longer back-off. It grows only with sheds in a row, and a burst that sheds single legs would close replicas that have room.

The part of its legs that a replica shed lately now counts as time in the choice. Test, without network, failing first (0.52 of the legs shed, near replica 0.93 of them): one of two sheds 0.6 or all, the far one sheds, both shed alike; and the near one is back within seconds.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -72,6 +72,8 @@
 #[cfg(test)]
 mod sharing_ways;
 #[cfg(test)]
+mod shedding_tests;
+#[cfg(test)]
 mod shutdown_tests;
 
 pub use admission::{Admission, Entrant, QueryEnd, Ticket};
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -28,6 +28,15 @@
 const SNAPSHOTS_REMEMBERED: usize = 2;
 const MEAN_WEIGHT: f64 = 0.2;
 const IDLE_HALF_LIFE: Span = Span::from_secs(1);
+/// Three of four legs that are shed are noticed within five legs, as is their end.
+const SHED_WEIGHT: f64 = 0.25;
+/// How fast the part that was shed is forgotten without legs: replicas that shed were seen
+/// to do so for five to nine seconds.
+const SHED_HALF_LIFE: Span = Span::from_secs(2);
+/// What a shed leg costs its query, in microseconds. It needs one of the few repeats that
+/// all instances share, and without one the part comes too late: the users' targets begin
+/// at 100 ms.
+const SHED_COST: f64 = 100_000.0;
 
 /// What is known of one upstream.
 #[derive(Clone, Debug)]
@@ -44,6 +53,9 @@
     failures: u32,
     avoid_until: Timestamp,
     sheds: u32,
+    /// The part of its legs that it shed lately, from 0 to 1.
+    shed_part: f64,
+    shed_learnt: Timestamp,
     busy_until: Timestamp,
     drains: u32,
     drained_until: Timestamp,
@@ -76,6 +88,8 @@
             failures: 0,
             avoid_until: Timestamp::default(),
             sheds: 0,
+            shed_part: 0.0,
+            shed_learnt: now,
             busy_until: Timestamp::default(),
             drains: 0,
             drained_until: Timestamp::default(),
@@ -155,6 +169,23 @@
         self.mean_micros * self.freshness(now)
     }
 
+    /// What one more leg to it costs in time, in microseconds, when a leg that it runs
+    /// takes `takes`: it may shed the leg, which then has to be sent again.
+    pub(super) fn cost_micros(&self, now: Timestamp, takes: f64) -> f64 {
+        takes * f64::from(self.in_flight + 1) + self.shed_part(now) * SHED_COST
+    }
+
+    fn shed_part(&self, now: Timestamp) -> f64 {
+        let idle = micros(now.since(self.shed_learnt)) / micros(SHED_HALF_LIFE);
+        self.shed_part * (-idle).exp2()
+    }
+
+    fn learn_shed(&mut self, now: Timestamp, shed: f64) {
+        let known = self.shed_part(now);
+        self.shed_part = known + (shed - known) * SHED_WEIGHT;
+        self.shed_learnt = now;
+    }
+
     /// The part of its share that a new or returned upstream gets by now.
     fn share(&self, now: Timestamp) -> f64 {
         let Some(from) = self.ramp_from else {
@@ -174,6 +205,7 @@
         self.failures = 0;
         self.drains = 0;
         self.sheds = 0;
+        self.learn_shed(now, 0.0);
     }
 
     fn on_failure(&mut self, now: Timestamp, took: Span, failure: LegFailure) {
@@ -185,6 +217,7 @@
             LegFailure::Shed => {
                 self.busy_until = now + doubled(BACK_OFF_AFTER_SHED, self.sheds, MOST_BACK_OFF);
                 self.sheds += 1;
+                self.learn_shed(now, 1.0);
             }
             LegFailure::Draining => {
                 self.drained_until = now + doubled(DRAIN_AVOIDED, self.drains, MOST_AVOIDED);
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -124,7 +124,7 @@
             }
             let room_at = limits.room_at(now, spec).max(seen.busy_until());
             let readiness = seen.readiness(now, rng);
-            let cost = seen.expected_micros(now).max(floor) * f64::from(seen.in_flight + 1);
+            let cost = seen.cost_micros(now, seen.expected_micros(now).max(floor));
             usable.add(now, at, readiness, room_at, cost * self.far_cost(spec));
         }
         usable.pick(rng).unwrap_or(Choice::Nobody { gone })
