--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -34,9 +34,9 @@
 /// to do so for five to nine seconds.
 const SHED_HALF_LIFE: Span = Span::from_secs(2);
 /// What a shed leg costs its query, in microseconds. It needs one of the few repeats that
-/// all instances share, and without one the part comes too late: the users' targets begin
-/// at 100 ms.
-const SHED_COST: f64 = 100_000.0;
+/// all instances share, and without one its part is missing: more than the users' longest
+/// target for a gather, 300 ms, is lost then.
+const SHED_COST: f64 = 500_000.0;
 
 /// What is known of one upstream.
 #[derive(Clone, Debug)]
