--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -145,7 +145,11 @@
     let upstream = Arc::clone(&leg.upstream);
     engine.metrics.leg_sent(&upstream.name);
     let began = engine.clock.now();
-    let most = engine.tables.limits.lock().connections(&leg.upstream);
+    let most = engine
+        .tables
+        .limits
+        .lock()
+        .connections(began, &leg.upstream);
     let result = engine.carrier.call(leg, most).await;
     if result.is_ok() {
         let now = engine.clock.now();
--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -12,6 +12,11 @@
 
 /// One place in so many is kept for an instance that runs beside the one it replaces.
 const INSTANCES_A_SPARE: u32 = 4;
+/// After its start, an instance leaves room for connections that its former life did not
+/// close: upstreams were seen to reset new ones for about 4 s after a loss of power.
+const FORMER_LIFE: Timestamp = Timestamp(5_000_000);
+/// With a single connection of one leg each, a leg that hangs holds up all others.
+const CONNECTIONS_FOR_A_HANG: u32 = 2;
 const KEPT_UNUSED: Span = Span::from_secs(3_600);
 
 /// What this instance uses of its share at each upstream.
@@ -82,12 +87,17 @@
     }
 
     /// How many connections this instance may have open to the upstream. A part is left
-    /// for instances that run beside those they replace.
+    /// for instances that run beside those they replace, and half at first: an upstream
+    /// goes on counting the connections of an instance whose machine lost power.
     #[must_use]
-    pub fn connections(&self, spec: &UpstreamSpec) -> ConnectionCount {
-        let spare = self.live.div_ceil(INSTANCES_A_SPARE);
-        let sharers = self.live + spare;
-        ConnectionCount((spec.connections.0 / sharers).max(1))
+    pub fn connections(&self, now: Timestamp, spec: &UpstreamSpec) -> ConnectionCount {
+        let beside = self.live + self.live.div_ceil(INSTANCES_A_SPARE);
+        let most = (spec.connections.0 / beside).max(1);
+        if now >= FORMER_LIFE {
+            return ConnectionCount(most);
+        }
+        let halved = spec.connections.0 / (2 * self.live);
+        ConnectionCount(halved.max(CONNECTIONS_FOR_A_HANG.min(most)))
     }
 
     #[cfg(test)]
--- a/src/process/limits_tests.rs
+++ b/src/process/limits_tests.rs
@@ -75,25 +75,34 @@
 struct Connections {
     accepted: u32,
     live: u32,
-    each: u32,
+    /// In the first seconds, and from then on.
+    each: [u32; 2],
 }
 
+/// All machines lose power and come back within a second; the upstreams go on counting the
+/// connections of the former life, which nobody closed.
 #[rstest]
-#[case::guild_finder(Connections { accepted: 25, live: 7, each: 2 })]
-#[case::guild_desk(Connections { accepted: 100, live: 7, each: 11 })]
-#[case::ferreira_records(Connections { accepted: 40, live: 6, each: 5 })]
-#[case::alone(Connections { accepted: 25, live: 1, each: 12 })]
-#[case::more_instances_than_connections(Connections { accepted: 25, live: 100, each: 1 })]
-fn connections_leave_room_for_replacements(#[case] case: Connections) {
+#[case::guild_finder(Connections { accepted: 25, live: 7, each: [2, 2] })]
+#[case::guild_desk(Connections { accepted: 100, live: 7, each: [7, 11] })]
+#[case::ferreira_records(Connections { accepted: 40, live: 6, each: [3, 5] })]
+#[case::ferreira_shards(Connections { accepted: 25, live: 6, each: [2, 3] })]
+#[case::alone(Connections { accepted: 25, live: 1, each: [12, 12] })]
+#[case::more_instances_than_connections(Connections { accepted: 25, live: 100, each: [1, 1] })]
+fn connections_leave_room_for_replacements_and_for_a_former_life(#[case] case: Connections) {
     let mut limits = Limits::default();
     limits.set_live(Timestamp(0), case.live);
     let spec = spec(2, case.accepted);
-    let each = limits.connections(&spec).0;
+    let at = |secs| Timestamp(0) + Span::from_secs(secs);
+    let each = [1, 20].map(|secs| limits.connections(at(secs), &spec).0);
     assert_eq!(each, case.each);
+    let [first, later] = each;
     let replaced_at_once = case.live.div_ceil(4);
     if case.live < case.accepted {
-        assert!((case.live + replaced_at_once) * each <= case.accepted);
+        assert!((case.live + replaced_at_once) * later <= case.accepted);
+        assert!((case.live + replaced_at_once) * first <= case.accepted);
     }
+    // One connection would let a leg that hangs hold up all others.
+    assert!(first <= 2 || 2 * case.live * first <= case.accepted);
 }
 
 #[test]
