Instances tell each other of replicas that do not answer

Ruled out: reading the replicas' state from the store (it goes on stating them for as long as they are dark), health checks (dear, and they lie).

A leg that was given up and stayed without a reply for 400 ms, while nothing else came from the replica, is reported with the next question to the instance that is followed, and on from there. Three instances have to agree within 1.5 s, since one may be cut off; then all are told and avoid the replica for 3 s, except one that heard it since. Decisions in fleet/silence.rs, tested without network for the pattern: many instances with few queries each.

--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::peer_wire::{MemberWire, PeerWireError};
-use crate::process::{Entry, EntryState, Follow, News, ObjectKey, Presence, Reason};
+use crate::process::{
+    Entry, EntryState, Follow, News, ObjectKey, Presence, Reason, SilenceReport, Silent,
+};
 use crate::types::{Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,6 +42,21 @@
     Looks,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct SilenceReportWire {
+    upstream: String,
+    by: String,
+    age_us: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct SilentWire {
+    upstream: String,
+    age_us: u64,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct FollowWire {
@@ -50,6 +67,7 @@
     members: u64,
     learned: Vec<PresenceWire>,
     poison: Vec<u64>,
+    silent: Vec<SilenceReportWire>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -64,6 +82,7 @@
     members: Vec<PresenceWire>,
     members_to: u64,
     poison: Vec<u64>,
+    silent: Vec<SilentWire>,
 }
 
 impl From<&Presence> for PresenceWire {
@@ -138,6 +157,48 @@
     }
 }
 
+impl From<&SilenceReport> for SilenceReportWire {
+    fn from(report: &SilenceReport) -> Self {
+        Self {
+            upstream: report.upstream.to_string(),
+            by: report.by.to_string(),
+            age_us: report.age.0,
+        }
+    }
+}
+
+impl TryFrom<SilenceReportWire> for SilenceReport {
+    type Error = PeerWireError;
+
+    fn try_from(wire: SilenceReportWire) -> Result<Self, PeerWireError> {
+        Ok(Self {
+            upstream: wire.upstream.parse()?,
+            by: wire.by.parse()?,
+            age: Span(wire.age_us),
+        })
+    }
+}
+
+impl From<&Silent> for SilentWire {
+    fn from(silent: &Silent) -> Self {
+        Self {
+            upstream: silent.upstream.to_string(),
+            age_us: silent.age.0,
+        }
+    }
+}
+
+impl TryFrom<SilentWire> for Silent {
+    type Error = PeerWireError;
+
+    fn try_from(wire: SilentWire) -> Result<Self, PeerWireError> {
+        Ok(Self {
+            upstream: wire.upstream.parse()?,
+            age: Span(wire.age_us),
+        })
+    }
+}
+
 impl From<&Follow> for FollowWire {
     fn from(follow: &Follow) -> Self {
         Self {
@@ -148,6 +209,7 @@
             members: follow.members.0,
             learned: follow.learned.iter().map(PresenceWire::from).collect(),
             poison: follow.poison.iter().map(|request| request.0).collect(),
+            silent: follow.silent.iter().map(SilenceReportWire::from).collect(),
         }
     }
 }
@@ -162,8 +224,9 @@
             of: Incarnation(wire.of),
             objects: Position(wire.objects),
             members: Position(wire.members),
-            learned: presences(wire.learned)?,
+            learned: each(wire.learned)?,
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
+            silent: each(wire.silent)?,
         })
     }
 }
@@ -180,6 +243,7 @@
             members: news.members.iter().map(PresenceWire::from).collect(),
             members_to: news.members_to.0,
             poison: news.poison.iter().map(|request| request.0).collect(),
+            silent: news.silent.iter().map(SilentWire::from).collect(),
         }
     }
 }
@@ -196,13 +260,17 @@
             via: via?,
             objects: wire.objects.into_iter().map(Entry::from).collect(),
             objects_to: Position(wire.objects_to),
-            members: presences(wire.members)?,
+            members: each(wire.members)?,
             members_to: Position(wire.members_to),
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
+            silent: each(wire.silent)?,
         })
     }
 }
 
-fn presences(wires: Vec<PresenceWire>) -> Result<Vec<Presence>, PeerWireError> {
-    wires.into_iter().map(Presence::try_from).collect()
+fn each<W, T>(wires: Vec<W>) -> Result<Vec<T>, T::Error>
+where
+    T: TryFrom<W>,
+{
+    wires.into_iter().map(T::try_from).collect()
 }
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -6,7 +6,7 @@
 use futures::future::{AbortHandle, Abortable};
 
 use super::Engine;
-use super::tables::EntryState;
+use super::tables::{EntryState, LegTask};
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
 use crate::types::{LegId, QueryId, Span, UpstreamName};
 use crate::version::Directory;
@@ -85,16 +85,17 @@
         Action::Send(leg) => {
             log_extra(engine, &leg);
             let (abort, registration) = AbortHandle::new_pair();
-            state.legs.insert(leg.leg, abort);
+            let upstream = leg.upstream.name.clone();
+            state.legs.insert(leg.leg, LegTask { upstream, abort });
             let sent = Abortable::new(run_leg(Arc::clone(engine), leg), registration);
             async_std::task::spawn(sent);
         }
         Action::Cancel(leg) => {
-            let abort = state.legs.swap_remove(&leg);
+            let task = state.legs.swap_remove(&leg);
             let finishes = engine.carrier.cancel_costs_connection() && !state.caller_gone;
-            match abort {
-                Some(abort) if finishes => give_up_later(abort),
-                Some(abort) => abort.abort(),
+            match task {
+                Some(task) if finishes => give_up_later(engine, task),
+                Some(task) => task.abort.abort(),
                 None => {}
             }
         }
@@ -133,10 +134,14 @@
 }
 
 /// Lets a leg that nobody waits for finish, but not for as long as it may take.
-fn give_up_later(abort: AbortHandle) {
+fn give_up_later(engine: &Arc<Engine>, task: LegTask) {
+    let engine = Arc::clone(engine);
     async_std::task::spawn(async move {
+        let since = engine.clock.now();
         async_std::task::sleep(FINISHES_WITHIN.as_duration()).await;
-        abort.abort();
+        task.abort.abort();
+        let mut upstreams = engine.tables.upstreams.lock();
+        upstreams.unanswered(since, &task.upstream);
     });
 }
 
@@ -158,6 +163,10 @@
     if let Err(failure) = &result {
         engine.metrics.leg_failed(&upstream.name, *failure);
         let took = engine.clock.now().since(began);
+        if *failure == LegFailure::Unreachable {
+            let mut upstreams = engine.tables.upstreams.lock();
+            upstreams.unanswered(began, &upstream.name);
+        }
         log_failure(&engine, query, &upstream.name, *failure, took);
     }
     let sent = engine.submit(Job::Leg(query, id, result)).await;
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -65,6 +65,7 @@
         node.fleet.lock().pass(now);
         node.drop_lapsed();
         node.count_instances();
+        node.judge_silence();
         let parent = node.fleet.lock().parent(node.clock.now());
         let Parent::Instance(addr) = parent else {
             followed = None;
@@ -137,6 +138,7 @@
 fn question(node: &Node, reason: Reason, seen: Seen) -> (Follow, Position) {
     let now = node.clock.now();
     let poison = node.engine.tables.suspects.lock().condemned(now);
+    let silent = node.silence.lock().reports(now);
     let fleet = node.fleet.lock();
     let (learned, told) = fleet.since(seen.told);
     let follow = Follow {
@@ -147,6 +149,7 @@
         members: seen.members,
         learned,
         poison,
+        silent,
     };
     (follow, told)
 }
@@ -171,6 +174,7 @@
         node.wake_waiting();
     }
     condemn(node, &news.poison);
+    node.agree_on_silence(news.silent);
     node.adopt(news.objects);
     if let Some(age) = news.age
         && !is_loop
@@ -224,6 +228,7 @@
             self.wake_waiting();
         }
         condemn(self, &follow.poison);
+        self.hear_of_silence(follow.silent);
         let (objects, members) = match follow.reason {
             _ if follow.of == me => (follow.objects, follow.members),
             Reason::Looks => (self.book.lock().end(), Position(0)),
@@ -244,6 +249,7 @@
             (fleet.me().clone(), fleet.since(members))
         };
         let poison = self.engine.tables.suspects.lock().condemned(now);
+        let silent = self.silence.lock().found(now);
         let (age, (objects, objects_to)) = {
             let book = self.book.lock();
             (book.age(now), book.since(objects, MOST_NEWS_BYTES))
@@ -260,6 +266,7 @@
             members,
             members_to,
             poison,
+            silent,
         }
     }
 }
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -5,6 +5,7 @@
 //! See `docs/DESIGN.md`, "On the platform".
 
 mod addresses;
+mod agree;
 mod book;
 mod feed;
 mod follow;
@@ -14,6 +15,7 @@
 mod presence;
 mod roster;
 mod serve;
+mod silence;
 mod telling;
 
 #[cfg(test)]
@@ -27,4 +29,5 @@
 pub(crate) use presence::Presence;
 pub(crate) use roster::{ReplicaEntry, Roster};
 pub(crate) use serve::{Answered, RouteRequest};
+pub(crate) use silence::{Silence, SilenceReport, Silent};
 pub(crate) use telling::{Follow, News, Reason};
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -9,7 +9,8 @@
 
 use super::addresses::{self, Place};
 use super::{
-    Book, Entry, EntryState, Fleet, Meaning, Presence, ReplicaEntry, Roster, Stated, feed, follow,
+    Book, Entry, EntryState, Fleet, Meaning, Presence, ReplicaEntry, Roster, Silence, Stated, feed,
+    follow,
 };
 use crate::connection::Peers;
 use crate::process::cells::MemberState;
@@ -57,6 +58,7 @@
     seeds: Ranked<Vec<SocketAddr>>,
     pub(super) fleet: Ranked<Fleet>,
     pub(super) share: Ranked<Share>,
+    pub(super) silence: Ranked<Silence>,
     pub(super) book: Ranked<Book>,
     pub(super) roster: Ranked<Roster>,
     catalog: Ranked<Arc<Catalog>>,
@@ -95,6 +97,7 @@
             shutdown: Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop)),
             seeds: Ranked::new(Rank::Seeds, settings.seeds.clone()),
             fleet: Ranked::new(Rank::Fleet, Fleet::new(now, settings.me.clone())),
+            silence: Ranked::new(Rank::Silence, Silence::default()),
             share: Ranked::new(Rank::Share, Share::new(GONE_COUNTS_FOR)),
             book: Ranked::new(Rank::Book, Book::new(meaning.prefixes().len())),
             meaning,
--- /dev/null
+++ b/src/process/fleet/silence_tests.rs
@@ -0,0 +1,173 @@
+//! Many instances with few queries each, and a replica that goes dark: none of them would
+//! learn of it in time alone.
+
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rstest::rstest;
+
+use super::{Silence, Silent};
+use crate::process::{Choice, LegEnd, Limits, Seeking, Upstreams};
+use crate::types::{
+    ClassName, ConnectionCount, SlotCount, SnapshotId, Span, Timestamp, UpstreamName,
+};
+use crate::version::UpstreamSpec;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(0) + Span::from_millis(ms)
+}
+
+fn dark() -> UpstreamName {
+    "dark".parse().unwrap()
+}
+
+struct Case {
+    /// Who found it silent, and when, in milliseconds.
+    reports: &'static [(&'static str, u64)],
+    judged_at: u64,
+    silent: bool,
+}
+
+#[rstest]
+#[case::nobody(Case { reports: &[], judged_at: 0, silent: false })]
+#[case::one_may_be_cut_off(Case {
+    reports: &[("a", 0), ("a", 100), ("a", 200), ("a", 300)], judged_at: 300, silent: false,
+})]
+#[case::two_may_be_cut_off(Case { reports: &[("a", 0), ("b", 0)], judged_at: 0, silent: false })]
+#[case::three_agree(Case { reports: &[("a", 0), ("b", 300), ("c", 600)], judged_at: 700, silent: true })]
+#[case::three_one_after_another(Case {
+    reports: &[("a", 0), ("b", 2_000), ("c", 4_000)], judged_at: 4_000, silent: false,
+})]
+fn some_have_to_agree_at_about_the_same_time(#[case] case: Case) {
+    let mut silence = Silence::default();
+    for (by, ms) in case.reports {
+        silence.report(dark(), by.parse().unwrap(), at(*ms));
+    }
+    let silent = silence.judge(at(case.judged_at));
+    assert_eq!(!silent.is_empty(), case.silent, "{silent:?}");
+    assert_eq!(silence.judge(at(case.judged_at)), [], "judged once");
+}
+
+/// Reports go up two levels of followers, and what was agreed goes down as many.
+#[test]
+fn followers_pass_on_what_they_hear() {
+    let mut levels: [Silence; 3] = Default::default();
+    let [first, middle, last] = &mut levels;
+    for by in ["a", "b"] {
+        last.report(dark(), by.parse().unwrap(), at(0));
+    }
+    for report in last.reports(at(400)) {
+        middle.report(report.upstream, report.by, at(400 - report.age.as_millis()));
+    }
+    middle.report(dark(), "c".parse().unwrap(), at(500));
+    for report in middle.reports(at(800)) {
+        first.report(report.upstream, report.by, at(800 - report.age.as_millis()));
+    }
+    assert_eq!(first.judge(at(800)).len(), 1);
+    for silent in first.found(at(850)) {
+        assert!(middle.agree(silent.upstream, at(850 - silent.age.as_millis())));
+    }
+    for silent in middle.found(at(900)) {
+        let since = at(900 - silent.age.as_millis());
+        assert!(last.agree(silent.upstream.clone(), since));
+        assert!(!last.agree(silent.upstream, since), "told again");
+    }
+    assert_eq!(last.reports(at(900)), [], "nothing is left to report");
+    assert_eq!(last.found(at(4_000)), [], "it gets legs again");
+}
+
+#[test]
+fn the_table_is_bounded() {
+    let mut silence = Silence::default();
+    for number in 0..5_000 {
+        let name: UpstreamName = format!("replica-{number}").parse().unwrap();
+        silence.report(name, "a".parse().unwrap(), at(0));
+    }
+    assert!(silence.reports(at(0)).len() <= 1_024);
+    silence.judge(at(10_000));
+    assert_eq!(silence.reports(at(10_000)), []);
+}
+
+fn spec(name: &str) -> Arc<UpstreamSpec> {
+    Arc::new(UpstreamSpec {
+        name: name.parse().unwrap(),
+        addr: "127.0.0.1:1".parse().unwrap(),
+        failure_domain: "suva-a".parse().unwrap(),
+        slots: SlotCount(2),
+        connections: ConnectionCount(25),
+        connect_cost: Span::from_millis(6),
+        leaving: false,
+    })
+}
+
+struct Told {
+    name: &'static str,
+    /// When this instance last heard the replica itself.
+    heard_ms: u64,
+    /// When it asks for a replica, having been told at two seconds.
+    asks_ms: u64,
+    /// The legs that the replica gets of a hundred.
+    legs: (usize, usize),
+}
+
+#[test]
+fn a_replica_that_others_found_silent_gets_no_legs_unless_it_was_heard_since() {
+    let cases = [
+        Told {
+            name: "told",
+            heard_ms: 500,
+            asks_ms: 2_001,
+            legs: (0, 0),
+        },
+        Told {
+            name: "heard since",
+            heard_ms: 1_900,
+            asks_ms: 2_001,
+            legs: (20, 80),
+        },
+        Told {
+            name: "later",
+            heard_ms: 500,
+            asks_ms: 9_000,
+            legs: (20, 80),
+        },
+    ];
+    let class: ClassName = "counter".parse().unwrap();
+    for case in cases {
+        let mut upstreams = Upstreams::default();
+        let mut rng = SmallRng::seed_from_u64(7);
+        let replicas = [spec("dark"), spec("other")];
+        let heard = at(case.heard_ms);
+        for replica in &replicas {
+            upstreams.begin(heard, replica);
+        }
+        for replica in &replicas {
+            let took = Span::from_millis(5);
+            upstreams.end(heard, replica, &class, took, LegEnd::Replied);
+        }
+        // Found silent at 1.6 s, told at 2 s.
+        let silent = Silent {
+            upstream: dark(),
+            age: Span::from_millis(400),
+        };
+        let told = at(2_000);
+        upstreams.avoid_silent(&dark(), at(1_600), silent.until(told));
+        let seeking = Seeking {
+            replicas: &replicas,
+            tried: 0,
+            snapshot: SnapshotId(1),
+        };
+        let limits = Limits::default();
+        let legs = (0..100).filter(|_| {
+            let chosen = upstreams.choose(at(case.asks_ms), &limits, seeking, &mut rng);
+            chosen == Choice::Replica(0)
+        });
+        let legs = legs.count();
+        assert!(
+            (case.legs.0..=case.legs.1).contains(&legs),
+            "{}: {legs}",
+            case.name
+        );
+    }
+}
--- a/src/process/fleet/telling.rs
+++ b/src/process/fleet/telling.rs
@@ -1,6 +1,6 @@
 //! What a follower asks, and what it is told.
 
-use super::{Entry, Presence};
+use super::{Entry, Presence, SilenceReport, Silent};
 use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
 
 /// What an asker is after.
@@ -29,6 +29,8 @@
     pub(crate) learned: Vec<Presence>,
     /// Requests that crashed upstreams.
     pub(crate) poison: Vec<Fingerprint>,
+    /// Replicas that the asker, or those that follow it, found silent.
+    pub(crate) silent: Vec<SilenceReport>,
 }
 
 /// What the asker lacks.
@@ -47,4 +49,6 @@
     pub(crate) members_to: Position,
     /// Requests that crashed upstreams.
     pub(crate) poison: Vec<Fingerprint>,
+    /// Replicas that enough instances found silent.
+    pub(crate) silent: Vec<Silent>,
 }
--- a/src/process/latency.rs
+++ b/src/process/latency.rs
@@ -20,6 +20,18 @@
     total: f32,
 }
 
+/// What the legs of one class took.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ClassLatency {
+    /// From a leg's sending to its reply.
+    pub(crate) legs: Latency,
+    /// The same, without the least that a leg to the failure domain takes, so that near
+    /// and far legs are alike.
+    pub(crate) excess: Latency,
+    /// From a leg's first wish for room to its sending.
+    pub(crate) waits: Latency,
+}
+
 impl Latency {
     /// Adds a latency that was observed to its end.
     pub(crate) fn learn(&mut self, took: Span) {
--- a/src/process/lock.rs
+++ b/src/process/lock.rs
@@ -28,6 +28,8 @@
     Fleet,
     /// How many instances the limits are divided among.
     Share,
+    /// The replicas that instances found silent.
+    Silence,
     /// The instances that the platform's objects come through.
     Via,
     /// The platform's objects.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -99,9 +99,10 @@
 pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
 pub(crate) use fleet::{
     Answered, Entry, EntryState, Follow, Meaning, News, Node, NodeSettings, Place, Presence,
-    Reason, ReplicaEntry, RouteRequest, Stated,
+    Reason, ReplicaEntry, RouteRequest, SilenceReport, Silent, Stated,
 };
 pub(crate) use instance::Instance;
+pub(crate) use latency::ClassLatency;
 pub(crate) use lock::{Rank, Ranked};
 pub(crate) use log_rate::LogRate;
 #[cfg(test)]
@@ -111,5 +112,4 @@
 pub(crate) use platform::{Backoff, CallBucket};
 pub(crate) use shutdown::{Shutdown, Step, StopTimes};
 pub(crate) use table::Table;
-pub(crate) use upstreams::ClassLatency;
 pub(crate) use upstreams::UpstreamLoad;
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -52,6 +52,9 @@
     unheard: u32,
     failures: u32,
     avoid_until: Timestamp,
+    heard_at: Timestamp,
+    /// Until when it is avoided because other instances found it silent.
+    silent_until: Timestamp,
     sheds: u32,
     /// The part of its legs that it shed lately, from 0 to 1.
     shed_part: f64,
@@ -87,6 +90,8 @@
             unheard: 0,
             failures: 0,
             avoid_until: Timestamp::default(),
+            heard_at: Timestamp::default(),
+            silent_until: Timestamp::default(),
             sheds: 0,
             shed_part: 0.0,
             shed_learnt: now,
@@ -124,6 +129,20 @@
             self.failures = 0;
         }
         self.unheard = 0;
+        self.heard_at = now;
+        self.silent_until = now;
+    }
+
+    /// Whether nothing came from it since that time.
+    pub(super) fn is_silent_since(&self, since: Timestamp) -> bool {
+        self.heard_at < since
+    }
+
+    /// Notes that other instances found it silent.
+    pub(super) fn avoid_silent(&mut self, since: Timestamp, until: Timestamp) {
+        if self.is_silent_since(since) {
+            self.silent_until = self.silent_until.max(until);
+        }
     }
 
     /// Whether it must not be sent a leg of this snapshot, even as the last resort.
@@ -153,7 +172,7 @@
 
     pub(super) fn readiness(&self, now: Timestamp, rng: &mut SmallRng) -> Readiness {
         let probed = self.failures > 0 && self.in_flight > 0;
-        if now < self.avoid_until || probed {
+        if now < self.avoid_until.max(self.silent_until) || probed {
             return Readiness::Avoided;
         }
         let share = self.share(now);
@@ -198,6 +217,8 @@
     fn on_reply(&mut self, now: Timestamp, took: Span) {
         self.learn(now, micros(took));
         self.unheard = 0;
+        self.heard_at = now;
+        self.silent_until = now;
         let returned = self.failures > 0 || self.drains > 0;
         if returned {
             self.ramp_from = Some(now);
--- a/src/process/tables.rs
+++ b/src/process/tables.rs
@@ -11,7 +11,7 @@
 use super::{Admission, Budgets, Limits, Rank, Ranked, Suspects, Upstreams};
 use crate::error::Refusal;
 use crate::request::{Answer, Query};
-use crate::types::{LegId, QueryId};
+use crate::types::{LegId, QueryId, UpstreamName};
 use crate::version::Directory;
 
 /// Every table of the process.
@@ -37,11 +37,18 @@
 #[derive(Debug)]
 pub(crate) struct EntryState {
     pub(crate) query: Query,
-    pub(crate) legs: IndexMap<LegId, AbortHandle>,
+    pub(crate) legs: IndexMap<LegId, LegTask>,
     pub(crate) reply: Sender<Result<Answer, Refusal>>,
     pub(crate) caller_gone: bool,
 }
 
+/// What it takes to stop a leg.
+#[derive(Debug)]
+pub(crate) struct LegTask {
+    pub(crate) upstream: UpstreamName,
+    pub(crate) abort: AbortHandle,
+}
+
 impl Tables {
     pub(crate) fn new(seed: u64) -> Self {
         Self {
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -9,7 +9,7 @@
 
 use super::domain::DomainLatency;
 use super::held::Held;
-use super::latency::Latency;
+use super::latency::ClassLatency;
 use super::observed::{Observed, micros};
 use super::usable::{MOST_REPLICAS, Usable};
 use super::{Limits, Replicas, Table};
@@ -28,6 +28,9 @@
 /// After this time without a reply from a failure domain, its distance is looked at anew.
 const FLOOR_KEPT: Span = Span::from_secs(5);
 
+/// Bounds what waits to be told to other instances.
+const MOST_SILENT: usize = 256;
+
 /// How a leg ended, as far as its upstream is concerned.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LegEnd {
@@ -80,23 +83,14 @@
     by_class: Table<ClassName, ClassLatency>,
     by_domain: Table<FailureDomain, DomainLatency>,
     held: Held,
+    /// Those that left legs without a reply, and since when nothing came from them, for
+    /// other instances to know.
+    silent: Table<UpstreamName, Timestamp>,
     home: Option<FailureDomain>,
     first_use: Option<Timestamp>,
     prune_at: usize,
 }
 
-/// What the legs of one class took.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct ClassLatency {
-    /// From a leg's sending to its reply.
-    pub(crate) legs: Latency,
-    /// The same, without the least that a leg to the failure domain takes, so that near
-    /// and far legs are alike.
-    pub(crate) excess: Latency,
-    /// From a leg's first wish for room to its sending.
-    pub(crate) waits: Latency,
-}
-
 impl Upstreams {
     /// Says which failure domain this instance stands in; links that leave it cost more.
     pub fn set_home(&mut self, home: FailureDomain) {
@@ -184,6 +178,27 @@
         }
     }
 
+    /// Notes that a leg, which was sent before `since`, is given up without a reply.
+    pub(crate) fn unanswered(&mut self, since: Timestamp, name: &UpstreamName) {
+        let seen = self.by_name.get(name);
+        let is_silent = seen.is_some_and(|seen| seen.is_silent_since(since));
+        if is_silent && self.silent.len() < MOST_SILENT {
+            self.silent.insert(name.clone(), since);
+        }
+    }
+
+    /// The upstreams that left legs without a reply since this was last asked.
+    pub(crate) fn take_silent(&mut self) -> Table<UpstreamName, Timestamp> {
+        std::mem::take(&mut self.silent)
+    }
+
+    /// Avoids an upstream that other instances found silent, unless it was heard since.
+    pub(crate) fn avoid_silent(&mut self, name: &UpstreamName, since: Timestamp, until: Timestamp) {
+        if let Some(seen) = self.by_name.get_mut(name) {
+            seen.avoid_silent(since, until);
+        }
+    }
+
     /// Notes that an upstream no longer holds a snapshot.
     pub fn lose(&mut self, now: Timestamp, spec: &UpstreamSpec, snapshot: SnapshotId) {
         self.observed(now, spec).lose(now, snapshot);
