Take the changes of one watch together

Cause: each change was adopted by itself, and each adoption joins the configuration with all replicas anew: a reshard of 135 shards with three replicas each made 405 catalogs of up to 675 replicas, and as many wake-ups of followers. Changes of different keys are now one batch; a key that comes twice begins the next one, as its deletion is of the version before it (table test).

--- a/src/process/fleet/feed.rs
+++ b/src/process/fleet/feed.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use async_std::task::{sleep, spawn};
+use indexmap::IndexMap;
 
 use super::{Entry, EntryState, Node, Parent};
-use crate::process::{Backoff, Changes, Listing, Object, ObjectKey, PlatformError};
+use crate::process::{Backoff, Change, Changes, Listing, Object, ObjectKey, PlatformError};
 use crate::types::{Revision, Span, Timestamp};
 
 /// How long a watch waits. A connection that went silent under it delays what it would
@@ -144,14 +145,13 @@
     }
 
     fn adopt_changes(&self, changes: Changes) {
-        // One change at a time: a key may come twice, and a deletion is of the version
-        // that stood before it.
-        for change in changes.changes {
-            let entry = match change.object {
+        for batch in batches(changes.changes) {
+            let entry = |change: Change| match change.object {
                 Some(object) => Some(held(object)),
                 None => self.gone(&change.key),
             };
-            self.node.adopt(entry.into_iter().collect());
+            self.node
+                .adopt(batch.into_iter().filter_map(entry).collect());
         }
     }
 
@@ -169,6 +169,22 @@
     }
 }
 
+/// The changes in order, as few batches as possible with each key once in a batch: a
+/// deletion is of the version that stood before it, and each batch costs a new catalog.
+fn batches(changes: Vec<Change>) -> Vec<Vec<Change>> {
+    let mut batches: Vec<IndexMap<ObjectKey, Change>> = Vec::new();
+    for change in changes {
+        match batches.last_mut() {
+            Some(batch) if !batch.contains_key(&change.key) => {
+                batch.insert(change.key.clone(), change);
+            }
+            _ => batches.push(IndexMap::from([(change.key.clone(), change)])),
+        }
+    }
+    let values = |batch: IndexMap<_, Change>| batch.into_values().collect();
+    batches.into_iter().map(values).collect()
+}
+
 fn held(object: Object) -> Entry {
     Entry {
         key: object.key,
@@ -176,3 +192,7 @@
         state: EntryState::Held(Arc::from(object.value)),
     }
 }
+
+#[cfg(test)]
+#[path = "feed_tests.rs"]
+mod feed_tests;
