--- a/src/process/fleet/agree.rs
+++ b/src/process/fleet/agree.rs
@@ -55,7 +55,9 @@
             }
         }
         for one in silent {
-            tracing::info!(upstream = %one.upstream, age = %one.age, "instances agree that a replica is silent");
+            if let Some(left_out) = self.engine.may_log() {
+                tracing::info!(upstream = %one.upstream, age = %one.age, left_out, "instances agree that a replica is silent");
+            }
         }
         self.wake_waiting();
     }
