--- a/src/cmd/addresses.rs
+++ b/src/cmd/addresses.rs
@@ -5,8 +5,8 @@
 use anyhow::Result;
 use async_std::task::block_on;
 
-use super::args::AddressesArgs;
 use super::client::{Ask, Client};
+use super::operator_args::AddressesArgs;
 use super::table::{print_json, print_table};
 use crate::connection::AddressesWire;
 
--- a/src/cmd/audit.rs
+++ b/src/cmd/audit.rs
@@ -5,8 +5,8 @@
 use anyhow::Result;
 use async_std::task::block_on;
 
-use super::args::AuditArgs;
 use super::client::{Ask, Client};
+use super::operator_args::AuditArgs;
 use super::table::{date, print_json, print_table};
 use crate::connection::{AuditWire, RefusedChangeWire};
 use crate::version::{ChangeWire, ClassWire};
--- a/src/cmd/class_apply.rs
+++ b/src/cmd/class_apply.rs
@@ -5,9 +5,9 @@
 use anyhow::{Context, Result};
 use tide::http::Method;
 
-use super::args::ClassApplyArgs;
 use super::class::{change, find, path, print_accepted};
 use super::client::{Ask, Client};
+use super::operator_args::ClassApplyArgs;
 use crate::connection::TargetsWire;
 use crate::types::ChangeNumber;
 use crate::version::ClassWire;
--- a/src/cmd/class_list.rs
+++ b/src/cmd/class_list.rs
@@ -5,9 +5,9 @@
 use anyhow::Result;
 use async_std::task::block_on;
 
-use super::args::ClassListArgs;
 use super::class::{CLASSES, print_classes};
 use super::client::{Ask, Client};
+use super::operator_args::ClassListArgs;
 use super::table::print_json;
 use crate::connection::ClassListWire;
 
--- a/src/cmd/class_remove.rs
+++ b/src/cmd/class_remove.rs
@@ -5,9 +5,9 @@
 use anyhow::Result;
 use tide::http::Method;
 
-use super::args::ClassRemoveArgs;
 use super::class::{change, find, path, print_accepted};
 use super::client::{Ask, Client};
+use super::operator_args::ClassRemoveArgs;
 use crate::types::ChangeNumber;
 
 impl ClassRemoveArgs {
--- a/src/cmd/class_show.rs
+++ b/src/cmd/class_show.rs
@@ -5,9 +5,9 @@
 use anyhow::Result;
 use async_std::task::block_on;
 
-use super::args::ClassShowArgs;
 use super::class::{path, print_classes};
 use super::client::{Ask, Client};
+use super::operator_args::ClassShowArgs;
 use super::table::print_json;
 use crate::version::ClassWire;
 
--- a/src/cmd/client.rs
+++ b/src/cmd/client.rs
@@ -11,8 +11,8 @@
 use serde::de::DeserializeOwned;
 use tide::http::{Method, Request, StatusCode, Url};
 
-use super::args::{AskArgs, OperatorArgs};
 use super::exit::Exit;
+use super::operator_args::{AskArgs, OperatorArgs};
 use crate::connection::RefusalWire;
 use crate::error::{ErrorKind, Ran};
 
--- a/src/cmd/completions.rs
+++ b/src/cmd/completions.rs
@@ -5,7 +5,7 @@
 use clap::CommandFactory;
 
 use super::Cmd;
-use super::args::CompletionsArgs;
+use super::operator_args::CompletionsArgs;
 
 impl CompletionsArgs {
     pub(crate) fn run(self) -> ExitCode {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod exit;
 mod keys;
 mod load;
+mod operator_args;
 mod query;
 mod serve;
 mod status;
--- a/src/cmd/query.rs
+++ b/src/cmd/query.rs
@@ -6,9 +6,9 @@
 use async_std::task::block_on;
 use tide::http::Method;
 
-use super::args::QueryArgs;
 use super::client::{Ask, Client};
 use super::exit::Exit;
+use super::operator_args::QueryArgs;
 use super::table::{print_json, print_table};
 use crate::connection::AnswerWire;
 
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -9,8 +9,8 @@
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 
-use super::args::StatusArgs;
 use super::client::{Ask, Client, Failure};
+use super::operator_args::StatusArgs;
 use super::table::{print_json, print_table};
 use crate::connection::{MemberStatusWire, MembersWire, StatusWire, UpstreamStatusWire};
 
--- a/src/cmd/token.rs
+++ b/src/cmd/token.rs
@@ -4,8 +4,8 @@
 
 use anyhow::{Context, Result};
 
-use super::args::TokenArgs;
 use super::keys::read_keys;
+use super::operator_args::TokenArgs;
 use crate::connection::sign_token;
 use crate::process::Clock;
 use crate::types::UnixSeconds;
--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::peer_wire::{MemberWire, PeerWireError};
+use super::peer_wire::{MemberWire, PeerWireError, collect};
 use crate::process::{
     Entry, EntryState, Follow, News, ObjectKey, Presence, Reason, SilenceReport, Silent,
 };
@@ -224,9 +224,9 @@
             of: Incarnation(wire.of),
             objects: Position(wire.objects),
             members: Position(wire.members),
-            learned: each(wire.learned)?,
+            learned: collect(wire.learned)?,
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
-            silent: each(wire.silent)?,
+            silent: collect(wire.silent)?,
         })
     }
 }
@@ -260,17 +260,10 @@
             via: via?,
             objects: wire.objects.into_iter().map(Entry::from).collect(),
             objects_to: Position(wire.objects_to),
-            members: each(wire.members)?,
+            members: collect(wire.members)?,
             members_to: Position(wire.members_to),
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
-            silent: each(wire.silent)?,
+            silent: collect(wire.silent)?,
         })
     }
 }
-
-fn each<W, T>(wires: Vec<W>) -> Result<Vec<T>, T::Error>
-where
-    T: TryFrom<W>,
-{
-    wires.into_iter().map(T::try_from).collect()
-}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -14,6 +14,7 @@
 mod head;
 mod heard;
 mod heartbeat;
+mod heartbeat_wire;
 mod http1;
 mod http1_head;
 mod leg_wire;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -7,14 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::fleet_wire::{FollowWire, NewsWire};
-use crate::process::{
-    Ask, CellDelta, CellId, CellVersion, Heartbeat, HeartbeatReply, Member, Met, Object, ObjectKey,
-    Told,
-};
-use crate::types::{
-    CellSeq, ConfigVersion, Epoch, Fingerprint, Incarnation, ObjectVersion, ParseError, Position,
-    Span,
-};
+use super::heartbeat_wire::{HeartbeatWire, ObjectWire, ReplyWire};
+use crate::process::{Ask, Member, Object, ObjectKey, Told};
+use crate::types::{Incarnation, ParseError};
 
 /// The version of this protocol; two instances must speak the same one.
 pub(crate) const PROTOCOL: u16 = 1;
@@ -128,61 +123,6 @@
     state: String,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct MetWire {
-    member: MemberWire,
-    config: u64,
-    age_us: u64,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct HeartbeatWire {
-    from: MemberWire,
-    cell: Option<String>,
-    config: u64,
-    seen: u64,
-    seen_of: u64,
-    digest: u64,
-    met: Vec<MetWire>,
-    poison: Vec<u64>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct ReplyWire {
-    from: MemberWire,
-    leading: Option<(String, u64)>,
-    fresh: bool,
-    said_config: u64,
-    up_to: u64,
-    more: bool,
-    objects: Vec<(String, u64)>,
-    cells: Vec<DeltaWire>,
-    met: Vec<MetWire>,
-    poison: Vec<u64>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct DeltaWire {
-    cell: String,
-    epoch: u64,
-    seq: u64,
-    whole: bool,
-    changed: Vec<MemberWire>,
-    removed: Vec<String>,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct ObjectWire {
-    key: String,
-    version: u64,
-    value: Vec<u8>,
-}
-
 impl From<&Member> for MemberWire {
     fn from(member: &Member) -> Self {
         Self {
@@ -217,28 +157,6 @@
     text.parse().map_err(|_| PeerWireError::Addr(text))
 }
 
-impl From<&Met> for MetWire {
-    fn from(met: &Met) -> Self {
-        Self {
-            member: MemberWire::from(&met.member),
-            config: met.config.0,
-            age_us: met.age.0,
-        }
-    }
-}
-
-impl TryFrom<MetWire> for Met {
-    type Error = PeerWireError;
-
-    fn try_from(wire: MetWire) -> Result<Self, PeerWireError> {
-        Ok(Self {
-            member: wire.member.try_into()?,
-            config: ConfigVersion(wire.config),
-            age: Span(wire.age_us),
-        })
-    }
-}
-
 impl From<&Ask> for AskWire {
     fn from(ask: &Ask) -> Self {
         match ask {
@@ -261,38 +179,6 @@
     }
 }
 
-impl From<&Heartbeat> for HeartbeatWire {
-    fn from(beat: &Heartbeat) -> Self {
-        Self {
-            from: MemberWire::from(&beat.from),
-            cell: beat.cell.as_ref().map(ToString::to_string),
-            config: beat.config.0,
-            seen: beat.seen.0,
-            seen_of: beat.seen_of.0,
-            digest: beat.digest,
-            met: beat.met.iter().map(MetWire::from).collect(),
-            poison: beat.poison.iter().map(|one| one.0).collect(),
-        }
-    }
-}
-
-impl TryFrom<HeartbeatWire> for Heartbeat {
-    type Error = PeerWireError;
-
-    fn try_from(wire: HeartbeatWire) -> Result<Self, PeerWireError> {
-        Ok(Self {
-            from: wire.from.try_into()?,
-            cell: wire.cell.map(|cell| cell.parse()).transpose()?,
-            config: ConfigVersion(wire.config),
-            seen: Position(wire.seen),
-            seen_of: Incarnation(wire.seen_of),
-            digest: wire.digest,
-            met: collect(wire.met)?,
-            poison: wire.poison.into_iter().map(Fingerprint).collect(),
-        })
-    }
-}
-
 impl From<&Told> for ToldWire {
     fn from(told: &Told) -> Self {
         match told {
@@ -325,106 +211,8 @@
     }
 }
 
-impl From<&HeartbeatReply> for ReplyWire {
-    fn from(reply: &HeartbeatReply) -> Self {
-        let leading = reply.leading.as_ref();
-        let objects = reply.objects.iter();
-        Self {
-            from: MemberWire::from(&reply.from),
-            leading: leading.map(|(cell, epoch)| (cell.to_string(), epoch.0)),
-            fresh: reply.fresh,
-            said_config: reply.said_config.0,
-            up_to: reply.up_to.0,
-            more: reply.more,
-            objects: objects
-                .map(|(key, version)| (key.to_string(), version.0))
-                .collect(),
-            cells: reply.cells.iter().map(DeltaWire::from).collect(),
-            met: reply.met.iter().map(MetWire::from).collect(),
-            poison: reply.poison.iter().map(|one| one.0).collect(),
-        }
-    }
-}
-
-impl TryFrom<ReplyWire> for HeartbeatReply {
-    type Error = PeerWireError;
-
-    fn try_from(wire: ReplyWire) -> Result<Self, PeerWireError> {
-        let leading = match wire.leading {
-            Some((cell, epoch)) => Some((cell.parse()?, Epoch(epoch))),
-            None => None,
-        };
-        let objects = wire.objects.into_iter();
-        Ok(Self {
-            from: wire.from.try_into()?,
-            leading,
-            fresh: wire.fresh,
-            said_config: ConfigVersion(wire.said_config),
-            up_to: Position(wire.up_to),
-            more: wire.more,
-            objects: objects
-                .map(|(key, version)| (ObjectKey::new(key), ObjectVersion(version)))
-                .collect(),
-            cells: collect(wire.cells)?,
-            met: collect(wire.met)?,
-            poison: wire.poison.into_iter().map(Fingerprint).collect(),
-        })
-    }
-}
-
-impl From<&CellDelta> for DeltaWire {
-    fn from(delta: &CellDelta) -> Self {
-        Self {
-            cell: delta.cell.to_string(),
-            epoch: delta.version.epoch.0,
-            seq: delta.version.seq.0,
-            whole: delta.whole,
-            changed: delta.changed.iter().map(MemberWire::from).collect(),
-            removed: delta.removed.iter().map(ToString::to_string).collect(),
-        }
-    }
-}
-
-impl TryFrom<DeltaWire> for CellDelta {
-    type Error = PeerWireError;
-
-    fn try_from(wire: DeltaWire) -> Result<Self, PeerWireError> {
-        let cell: CellId = wire.cell.parse()?;
-        let removed = wire.removed.iter().map(|name| name.parse());
-        Ok(Self {
-            cell,
-            version: CellVersion {
-                epoch: Epoch(wire.epoch),
-                seq: CellSeq(wire.seq),
-            },
-            whole: wire.whole,
-            changed: collect(wire.changed)?,
-            removed: removed.collect::<Result<_, _>>()?,
-        })
-    }
-}
-
-impl From<&Object> for ObjectWire {
-    fn from(object: &Object) -> Self {
-        Self {
-            key: object.key.to_string(),
-            version: object.version.0,
-            value: object.value.clone(),
-        }
-    }
-}
-
-impl From<ObjectWire> for Object {
-    fn from(wire: ObjectWire) -> Self {
-        Self {
-            key: ObjectKey::new(wire.key),
-            version: ObjectVersion(wire.version),
-            value: wire.value,
-        }
-    }
-}
-
-fn collect<W, T>(wires: Vec<W>) -> Result<Vec<T>, PeerWireError>
+/// Reads each of what a message lists.
+pub(super) fn collect<W, T>(wires: Vec<W>) -> Result<Vec<T>, PeerWireError>
 where
     T: TryFrom<W, Error = PeerWireError>,
 {
--- a/src/process/lead.rs
+++ b/src/process/lead.rs
@@ -1,10 +1,10 @@
 //! What an instance does on the platform for its cell: contends for the lease, renews
 //! it, publishes the summary, and takes over the lease of a cell that is lost.
 
-use super::cell_wire::{cell_key, lease_key};
 use super::cells::{CellId, Summary};
 use super::heartbeat::exchange;
-use super::lease::{Contend, Lease, LeaseRecord};
+use super::lease::{Contend, Lease};
+use super::lease_store::{put_lease, put_summary, read_lease, read_summary, record};
 use super::{Expected, Instance, PlatformError};
 use crate::types::{Epoch, ObjectVersion, Span, Timestamp};
 
@@ -23,11 +23,6 @@
     lease: Lease,
 }
 
-struct Found {
-    record: LeaseRecord,
-    version: ObjectVersion,
-}
-
 impl Duties {
     /// Drops what only a leader needs.
     pub(crate) fn forget(&mut self) {
@@ -311,68 +306,3 @@
     members.lease.lose();
     tracing::info!(%cell, %epoch, "lost the lease");
 }
-
-fn record(instance: &Instance, epoch: Epoch, renewals: u64, released: bool) -> LeaseRecord {
-    let members = instance.members.lock();
-    let me = members.me();
-    LeaseRecord {
-        epoch,
-        holder: me.name.clone(),
-        incarnation: me.incarnation,
-        peer_addr: me.peer_addr,
-        renewals,
-        released,
-    }
-}
-
-async fn read_lease(instance: &Instance, cell: &CellId) -> Result<Option<Found>, PlatformError> {
-    let object = instance.platform.get(&lease_key(cell)).await?;
-    object
-        .map(|object| {
-            let record = LeaseRecord::from_json(&object.value)
-                .map_err(|error| PlatformError::Protocol(error.to_string()))?;
-            let version = object.version;
-            Ok(Found { record, version })
-        })
-        .transpose()
-}
-
-async fn put_lease(
-    instance: &Instance,
-    cell: &CellId,
-    record: &LeaseRecord,
-    expected: Expected,
-) -> Result<ObjectVersion, PlatformError> {
-    let json = record
-        .to_json()
-        .map_err(|error| PlatformError::Protocol(error.to_string()))?;
-    instance
-        .platform
-        .put(&lease_key(cell), json, expected)
-        .await
-}
-
-async fn read_summary(instance: &Instance, cell: &CellId) -> Result<Expected, PlatformError> {
-    let object = instance.platform.get(&cell_key(cell)).await?;
-    Ok(match object {
-        Some(object) => {
-            super::follow::adopt(instance, &object);
-            Expected::Version(object.version)
-        }
-        None => Expected::Absent,
-    })
-}
-
-async fn put_summary(
-    instance: &Instance,
-    summary: &Summary,
-    expected: Expected,
-) -> Result<ObjectVersion, PlatformError> {
-    let json = summary
-        .to_json()
-        .map_err(|error| PlatformError::Protocol(error.to_string()))?;
-    instance
-        .platform
-        .put(&cell_key(&summary.cell), json, expected)
-        .await
-}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -13,6 +13,7 @@
 mod cell_table;
 mod cell_wire;
 mod cells;
+mod choice;
 mod clock;
 mod config;
 mod dispatch;
@@ -29,6 +30,7 @@
 mod latency;
 mod lead;
 mod lease;
+mod lease_store;
 mod limits;
 mod lock;
 mod log_rate;
@@ -79,6 +81,7 @@
 pub use admission::{Admission, Entrant, QueryEnd, Ticket};
 pub use allowance::{Allowances, RepeatTerms};
 pub use budget::{Budgets, Extra};
+pub use choice::{Choice, LegEnd, Seeking};
 pub use limits::Limits;
 pub use platform::{
     CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
@@ -86,7 +89,7 @@
 };
 pub use settings::{Settings, SettingsError};
 pub use suspects::Suspects;
-pub use upstreams::{Choice, LegEnd, Seeking, Upstreams};
+pub use upstreams::Upstreams;
 
 pub(crate) use addresses::{Near, choose as choose_addresses};
 pub(crate) use audit_rows::RefusedChange;
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -7,7 +7,7 @@
 use rand::Rng;
 use rand::rngs::SmallRng;
 
-use super::upstreams::LegEnd;
+use super::LegEnd;
 use crate::request::LegFailure;
 use crate::types::{SnapshotId, Span, Timestamp};
 
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -3,8 +3,6 @@
 //! Health and load endpoints lag or mislead, so only what this instance's own legs
 //! showed counts; see `docs/DESIGN.md`, "Choice of replica".
 
-use std::sync::Arc;
-
 use rand::rngs::SmallRng;
 
 use super::domain::DomainLatency;
@@ -12,7 +10,7 @@
 use super::latency::ClassLatency;
 use super::observed::{Observed, micros};
 use super::usable::{MOST_REPLICAS, Usable};
-use super::{Limits, Replicas, Table};
+use super::{Choice, LegEnd, Limits, Replicas, Seeking, Table};
 use crate::request::LegFailure;
 use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
 use crate::version::{Snapshot, UpstreamSpec};
@@ -31,42 +29,6 @@
 /// Bounds what waits to be told to other instances.
 const MOST_SILENT: usize = 256;
 
-/// How a leg ended, as far as its upstream is concerned.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LegEnd {
-    /// The upstream replied.
-    Replied,
-    /// The leg failed.
-    Failed(LegFailure),
-    /// The reply was no longer needed.
-    Cancelled,
-}
-
-/// The replicas of one shard, of which one is sought.
-#[derive(Clone, Copy, Debug)]
-pub struct Seeking<'a> {
-    /// All replicas of the shard; those beyond the first 64 are never chosen.
-    pub replicas: &'a [Arc<UpstreamSpec>],
-    /// One bit for each replica that was tried already.
-    pub tried: u64,
-    /// The snapshot that it has to hold.
-    pub snapshot: SnapshotId,
-}
-
-/// Where the next leg of a shard goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Choice {
-    /// To the replica of this index, at once.
-    Replica(usize),
-    /// To nobody now; a replica may have room at this time.
-    RoomAt(Timestamp),
-    /// To nobody: no replica is left that could run it.
-    Nobody {
-        /// Whether a replica is left out because it lost the snapshot.
-        gone: bool,
-    },
-}
-
 /// What an instance observes of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct UpstreamLoad {
