Property tests of what followers ask and are told

The decoders of Follow and News had none: they come back as they were, a cut message is refused, changed and random bytes never panic. With the silent replicas left out of the encoding the test fails.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,6 +8,8 @@
 mod caller;
 mod conn;
 mod exchange;
+#[cfg(test)]
+mod fleet_samples;
 mod fleet_wire;
 mod front;
 mod hangup;
--- a/src/connection/peer_tests.rs
+++ b/src/connection/peer_tests.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
+use super::fleet_samples::{follow, news};
 use super::peer_auth::{self, Side, Transcript};
 use super::peer_wire::{
     self, AskWire, ChallengeWire, HelloWire, MOST_HELLO_BYTES, MOST_MESSAGE_BYTES, PROTOCOL,
@@ -20,12 +21,12 @@
     CellSeq, ConfigVersion, Epoch, Fingerprint, Incarnation, ObjectVersion, PeerKey, Position, Span,
 };
 
-fn name() -> impl Strategy<Value = String> {
+pub(super) fn name() -> impl Strategy<Value = String> {
     "[a-z0-9._:-]{1,20}"
 }
 
 prop_compose! {
-    fn member()(
+    pub(super) fn member()(
         names in [name(), name(), name()],
         incarnation: u64,
         ips: (u32, u32),
@@ -140,14 +141,14 @@
 fn ask() -> impl Strategy<Value = Ask> {
     let fetch = vec(name(), 0..8);
     let fetch = fetch.prop_map(|keys| Ask::Fetch(keys.into_iter().map(ObjectKey::new).collect()));
-    prop_oneof![heartbeat(), fetch]
+    prop_oneof![heartbeat(), fetch, follow()]
 }
 
 fn told() -> impl Strategy<Value = Told> {
     let objects = vec(object(), 0..4);
     let objects =
         objects.prop_map(|objects| Told::Objects(objects.into_iter().map(Into::into).collect()));
-    prop_oneof![reply(), objects]
+    prop_oneof![reply(), objects, news()]
 }
 
 fn read_ask(bytes: &[u8]) -> Result<Ask, PeerWireError> {
