--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -19,7 +19,7 @@
 use crate::connection;
 use crate::platform::ObjectStore;
 use crate::process::{
-    CallRates, Clock, Instance, MemberState, Node, Ranked, Settings, Shutdown, Step,
+    CallRates, Clock, Instance, Lost, MemberState, Node, Ranked, Settings, Shutdown, Step,
 };
 use crate::types::Span;
 
@@ -80,8 +80,7 @@
 }
 
 async fn serve(mut settings: Settings) -> Result<ExitCode> {
-    let signals =
-        Signals::new([Signal::Term, Signal::Int]).context("could not listen for signals")?;
+    let signals = stop_signals().context("could not listen for signals")?;
     let listener = bind(settings.listen).await?;
     settings.listen = listener.local_addr()?;
     let peer_listener = bind(settings.peer_listen).await?;
@@ -103,49 +102,54 @@
         .with_context(|| format!("could not listen on {addr}"))
 }
 
+/// How a planned stop ended, and how many requests it cut off.
+enum End {
+    InOrder(Lost),
+    BySecondSignal(Lost),
+}
+
 async fn stop_when_told(
     instance: &Instance,
-    mut signals: Signals,
+    signals: Signals,
     accepting: JoinHandle<std::io::Result<()>>,
 ) -> Result<ExitCode> {
-    let mut accepting = Some(accepting);
-    loop {
-        match next_step(&instance.shutdown, instance.clock, &mut signals).await {
-            Step::Leave => {
-                tracing::info!("leaving; callers are sent elsewhere");
-                instance.leave();
-            }
-            Step::StopAccepting => {
-                tracing::info!("accepts no more; finishes what runs");
-                if let Some(accepting) = accepting.take() {
-                    accepting.cancel().await;
-                }
-            }
-            Step::HandOn(lost) => {
-                instance.hand_on().await;
-                tracing::info!(%lost, "stopped");
-                return Ok(if lost.0 == 0 {
-                    ExitCode::SUCCESS
-                } else {
-                    ExitCode::from(EXIT_OUT_OF_TIME)
-                });
-            }
-            Step::Abandon(lost) => {
-                tracing::warn!(%lost, "stopped by a second signal; requests were cut off");
-                return Ok(ExitCode::from(EXIT_ABANDONED));
-            }
+    let leave = || instance.leave();
+    match stop(
+        &instance.shutdown,
+        instance.clock,
+        signals,
+        accepting,
+        leave,
+    )
+    .await
+    {
+        End::InOrder(lost) => {
+            instance.hand_on().await;
+            tracing::info!(%lost, "stopped");
+            Ok(if lost.0 == 0 {
+                ExitCode::SUCCESS
+            } else {
+                ExitCode::from(EXIT_OUT_OF_TIME)
+            })
+        }
+        End::BySecondSignal(lost) => {
+            tracing::warn!(%lost, "stopped by a second signal; requests were cut off");
+            Ok(ExitCode::from(EXIT_ABANDONED))
         }
     }
 }
 
+fn stop_signals() -> std::io::Result<Signals> {
+    Signals::new([Signal::Term, Signal::Int])
+}
+
 /// Listens for the signals to stop, and for those that tell of changed settings.
 ///
 /// # Errors
 /// When signals cannot be listened for.
 pub(crate) fn listen_for_signals() -> Result<(Signals, Signals)> {
-    let stops = Signals::new([Signal::Term, Signal::Int]);
     let hangups = Signals::new([Signal::Hup]);
-    stops
+    stop_signals()
         .and_then(|stops| hangups.map(|hangups| (stops, hangups)))
         .context("could not listen for signals")
 }
@@ -156,15 +160,30 @@
 /// None so far; the commands share one type.
 pub(crate) async fn run_until_stopped(
     node: &Node,
-    mut signals: Signals,
+    signals: Signals,
     accepting: JoinHandle<()>,
 ) -> Result<ExitCode> {
+    let leave = || node.set_state(MemberState::Leaving);
+    let (End::InOrder(lost) | End::BySecondSignal(lost)) =
+        stop(&node.shutdown, node.clock, signals, accepting, leave).await;
+    tracing::info!(%lost, "stopped");
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Waits for the signal to stop and takes the steps of a planned stop up to its end.
+async fn stop<T>(
+    shutdown: &Ranked<Shutdown>,
+    clock: Clock,
+    mut signals: Signals,
+    accepting: JoinHandle<T>,
+    leave: impl Fn(),
+) -> End {
     let mut accepting = Some(accepting);
     loop {
-        match next_step(&node.shutdown, node.clock, &mut signals).await {
+        match next_step(shutdown, clock, &mut signals).await {
             Step::Leave => {
                 tracing::info!("leaving; callers are sent elsewhere");
-                node.set_state(MemberState::Leaving);
+                leave();
             }
             Step::StopAccepting => {
                 tracing::info!("accepts no more; finishes what runs");
@@ -172,10 +191,8 @@
                     accepting.cancel().await;
                 }
             }
-            Step::HandOn(lost) | Step::Abandon(lost) => {
-                tracing::info!(%lost, "stopped");
-                return Ok(ExitCode::SUCCESS);
-            }
+            Step::HandOn(lost) => return End::InOrder(lost),
+            Step::Abandon(lost) => return End::BySecondSignal(lost),
         }
     }
 }
--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -1,12 +1,11 @@
 //! A message is read whole or refused: nothing that is cut short, too long or framed in
 //! two ways passes for one.
 
-use async_std::net::{TcpListener, TcpStream};
 use async_std::task::block_on;
-use futures::io::AsyncWriteExt;
 use rstest::rstest;
 
-use super::{HttpError, Wire};
+use super::HttpError;
+use crate::connection::sent;
 
 const MOST_HEAD: usize = 512;
 const MOST_BODY: usize = 64;
@@ -14,14 +13,7 @@
 /// What a peer that sends `bytes` and closes is read as: each message's body.
 fn responses(bytes: &'static [u8]) -> Vec<Result<Vec<u8>, HttpError>> {
     block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let mut sender = TcpStream::connect(listener.local_addr().unwrap())
-            .await
-            .unwrap();
-        let (stream, _) = listener.accept().await.unwrap();
-        sender.write_all(bytes).await.unwrap();
-        drop(sender);
-        let mut wire = Wire::new(stream);
+        let mut wire = sent(bytes).await;
         let mut read = Vec::new();
         loop {
             let body = match wire.response(MOST_HEAD).await {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -19,6 +19,8 @@
 mod heartbeat_wire;
 mod http1;
 mod http1_head;
+#[cfg(test)]
+mod http1_samples;
 mod leg_wire;
 mod links;
 mod operator_api;
@@ -55,6 +57,8 @@
 #[cfg(test)]
 pub(crate) use http1_head::Fields;
 pub(crate) use http1_head::{RequestHead, ResponseHead, is_hop_by_hop};
+#[cfg(test)]
+pub(crate) use http1_samples::sent;
 pub(crate) use links::Links;
 pub(crate) use peer::Peers;
 pub(crate) use peer_server::{Host, accept as accept_peers};
--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -42,18 +42,18 @@
 
     /// A response of the instance itself with a body of JSON.
     pub(super) fn json(status: u16, body: String) -> Self {
-        let mut outgoing = Self::new(status, None);
-        outgoing.field("Content-Type", "application/json");
-        outgoing.body = body.into_bytes();
-        outgoing
+        Self::new(status, None).holding("application/json", body)
     }
 
     /// A response of the instance itself with a body of text.
     pub(super) fn text(status: u16, body: String) -> Self {
-        let mut outgoing = Self::new(status, None);
-        outgoing.field("Content-Type", "text/plain");
-        outgoing.body = body.into_bytes();
-        outgoing
+        Self::new(status, None).holding("text/plain", body)
+    }
+
+    fn holding(mut self, kind: &str, body: String) -> Self {
+        self.field("Content-Type", kind);
+        self.body = body.into_bytes();
+        self
     }
 
     fn field(&mut self, name: &str, value: &str) {
@@ -121,9 +121,7 @@
     if let Some(after) = retry_after(refusal.kind).filter(|_| row.ran == Ran::NotRun) {
         outgoing.field(RETRY_AFTER, &after.as_duration().as_secs_f64().to_string());
     }
-    outgoing.field("Content-Type", "text/plain");
-    outgoing.body = refusal.to_string().into_bytes();
-    outgoing
+    outgoing.holding("text/plain", refusal.to_string())
 }
 
 /// When the same request may succeed, if that can be said.
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -34,7 +34,8 @@
 
 impl PlatformArgs {
     pub(crate) fn run(self) -> Result<ExitCode> {
-        let wire = settings::read(&self.settings)?;
+        let text = settings::read(&self.settings)?;
+        let wire = settings::parse(&self.settings, &text)?;
         let settings = NodeSettings::try_from(&wire).context("could not use the settings")?;
         if self.check {
             println!("the settings of {} are good", settings.me.member.name);
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -11,7 +11,7 @@
 use super::answer::Outgoing;
 use super::tcp;
 use crate::connection::Wire;
-use crate::process::{Node, Place};
+use crate::process::{Near, Node};
 use crate::types::Span;
 
 const RESOLVE: &str = "/api/resolve";
@@ -62,11 +62,11 @@
 }
 
 fn resolve(node: &Node, query: &str) -> Outgoing {
-    let place = Place {
+    let caller = Near {
         failure_domain: param(query, "zone").and_then(|text| text.parse().ok()),
         region: param(query, "region").and_then(|text| text.parse().ok()),
     };
-    let addrs = node.addresses(&place);
+    let addrs = node.addresses(&caller);
     if addrs.is_empty() {
         return Outgoing::json(503, "{}".to_owned());
     }
--- a/src/platform/payload_tests.rs
+++ b/src/platform/payload_tests.rs
@@ -1,25 +1,15 @@
 //! A replica gets the caller's request unchanged, but for what concerns one connection
 //! and what the instance states itself.
 
-use async_std::net::{TcpListener, TcpStream};
 use async_std::task::block_on;
-use futures::io::AsyncWriteExt;
 use rstest::rstest;
 
 use super::{Payload, encode};
-use crate::connection::{RequestHead, Wire};
+use crate::connection::{RequestHead, sent};
 use crate::types::Span;
 
 fn parse(text: &'static str) -> RequestHead {
-    block_on(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let mut sender = TcpStream::connect(listener.local_addr().unwrap())
-            .await
-            .unwrap();
-        let (stream, _) = listener.accept().await.unwrap();
-        sender.write_all(text.as_bytes()).await.unwrap();
-        Wire::new(stream).request(4096).await.unwrap()
-    })
+    block_on(async { sent(text.as_bytes()).await.request(4096).await.unwrap() })
 }
 
 struct Case {
--- a/src/platform/reload.rs
+++ b/src/platform/reload.rs
@@ -16,18 +16,18 @@
 
 /// Looks at the file on each signal, and now and then without one.
 pub(super) async fn follow(node: Arc<Node>, path: PathBuf, mut hangups: Signals) {
-    let mut known = std::fs::read(&path).ok();
+    let mut known = settings::read(&path).ok();
     loop {
         let told = timeout(LOOK, hangups.next()).await.is_ok();
-        let now = std::fs::read(&path).ok();
-        if now == known {
+        let text = settings::read(&path);
+        if text.as_ref().ok() == known.as_ref() {
             if told {
                 tracing::info!("told to reload; the settings are the same");
             }
             continue;
         }
-        known = now;
-        match load(&path) {
+        known = text.as_ref().ok().cloned();
+        match text.and_then(|text| load(&path, &text)) {
             Ok(settings) => {
                 node.reload(&settings);
                 tracing::info!("took over changed settings");
@@ -40,6 +40,6 @@
     }
 }
 
-fn load(path: &Path) -> anyhow::Result<NodeSettings> {
-    NodeSettings::try_from(&settings::read(path)?)
+fn load(path: &Path, text: &[u8]) -> anyhow::Result<NodeSettings> {
+    NodeSettings::try_from(&settings::parse(path, text)?)
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -94,11 +94,17 @@
 /// Reads the settings file.
 ///
 /// # Errors
-/// When it cannot be read or lacks a field that is needed.
-pub(super) fn read(path: &Path) -> Result<SettingsWire> {
-    let text = std::fs::read(path)
-        .with_context(|| format!("could not read the settings {}", path.display()))?;
-    serde_json::from_slice(&text)
+/// When it cannot be read.
+pub(super) fn read(path: &Path) -> Result<Vec<u8>> {
+    std::fs::read(path).with_context(|| format!("could not read the settings {}", path.display()))
+}
+
+/// What the text of the settings file states.
+///
+/// # Errors
+/// When it lacks a field that is needed.
+pub(super) fn parse(path: &Path, text: &[u8]) -> Result<SettingsWire> {
+    serde_json::from_slice(text)
         .with_context(|| format!("could not use the settings {}", path.display()))
 }
 
--- a/src/process/addresses.rs
+++ b/src/process/addresses.rs
@@ -15,23 +15,23 @@
 pub(crate) const ADDRESSES: usize = 3;
 const NEAR_ADDRESSES: usize = 2;
 
-/// Where a caller is.
+/// Where a caller is, as far as it says.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Near {
-    /// Its failure domain, if it said so.
     pub(crate) failure_domain: Option<FailureDomain>,
-    /// Its region; taken from the instances of its failure domain when absent.
     pub(crate) region: Option<Region>,
 }
 
+/// How far an instance is from a caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Distance {
+pub(super) enum Distance {
     SameFailureDomain,
     SameRegion,
     Elsewhere,
 }
 
-/// The instances that a caller should use, the one to try first in front.
+/// The instances that a caller should use, the one to try first in front. A region that
+/// the caller does not name is taken from the instances of its failure domain.
 pub(crate) fn choose<'a>(
     candidates: &'a [Member],
     caller: &CallerName,
@@ -67,7 +67,8 @@
     found.map(|member| &member.region)
 }
 
-fn distance(member: &Member, near: &Near, region: Option<&Region>) -> Distance {
+/// How far an instance is from a caller of that region.
+pub(super) fn distance(member: &Member, near: &Near, region: Option<&Region>) -> Distance {
     if near.failure_domain.as_ref() == Some(&member.failure_domain) {
         Distance::SameFailureDomain
     } else if region == Some(&member.region) {
--- a/src/process/fleet/addresses_tests.rs
+++ b/src/process/fleet/addresses_tests.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 
-use super::{Place, choose};
+use super::{Near, choose};
 use crate::process::cells::{Member, MemberState};
 use crate::process::fleet::Presence;
 use crate::types::Incarnation;
@@ -57,11 +57,11 @@
         .zip(case.instances)
         .map(|(at, text)| presence(at, text))
         .collect();
-    let place = Place {
+    let caller = Near {
         failure_domain: Some("a".parse().unwrap()),
         region: Some("c".parse().unwrap()),
     };
-    let chosen = choose(instances.iter(), &place);
+    let chosen = choose(instances.iter(), &caller);
     let wanted: Vec<_> = case
         .wanted
         .iter()
--- a/src/process/fleet/book.rs
+++ b/src/process/fleet/book.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
 use crate::process::ObjectKey;
 use crate::types::{ObjectVersion, Position, Revision, Span, Timestamp};
@@ -113,7 +113,8 @@
         listed: &[ObjectKey],
         at: Revision,
     ) -> Vec<ObjectKey> {
-        let under = |entry: &&Entry| entry.key.as_str().starts_with(prefix);
+        let listed: IndexSet<&ObjectKey> = listed.iter().collect();
+        let under = |entry: &&Entry| entry.key.is_under(prefix);
         let entries = self.entries.values().map(|(_, entry)| entry);
         entries
             .filter(under)
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -21,7 +21,6 @@
 #[cfg(test)]
 mod members_tests;
 
-pub(crate) use addresses::Place;
 pub(crate) use book::{Book, Entry, EntryState};
 pub(crate) use meaning::{Meaning, Stated};
 pub(crate) use members::{Fleet, Parent};
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -7,7 +7,7 @@
 use async_std::channel::{self, Receiver, Sender};
 use indexmap::IndexMap;
 
-use super::addresses::{self, Place};
+use super::addresses;
 use super::{
     Book, Entry, EntryState, Fleet, Meaning, Presence, ReplicaEntry, Roster, Silence, Stated, feed,
     follow,
@@ -16,7 +16,7 @@
 use crate::process::cells::MemberState;
 use crate::process::share::Share;
 use crate::process::shutdown::{Shutdown, StopTimes};
-use crate::process::{Catalog, Clock, Engine, Platform, Rank, Ranked, RepeatTerms};
+use crate::process::{Catalog, Clock, Engine, Near, Platform, Rank, Ranked, RepeatTerms};
 use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp, UpstreamName};
 use crate::version::RouteTable;
 
@@ -136,8 +136,8 @@
     }
 
     /// The addresses for a caller.
-    pub(crate) fn addresses(&self, place: &Place) -> Vec<SocketAddr> {
-        addresses::choose(self.fleet.lock().present(), place)
+    pub(crate) fn addresses(&self, caller: &Near) -> Vec<SocketAddr> {
+        addresses::choose(self.fleet.lock().present(), caller)
     }
 
     /// Takes what was learned of objects, from whoever states it.
--- a/src/process/fleet/roster.rs
+++ b/src/process/fleet/roster.rs
@@ -9,7 +9,7 @@
 
 use super::book::EntryState;
 use crate::process::{ObjectKey, Replicas};
-use crate::types::{ConnectionCount, ServiceName, Span, Timestamp, UpstreamName};
+use crate::types::{ServiceName, Span, Timestamp, UpstreamName};
 use crate::version::{RouteTable, UpstreamSpec};
 
 /// Replicas that lapsed with an outage are heard of again within two seconds of its end,
@@ -98,7 +98,7 @@
                 continue;
             };
             let spec = UpstreamSpec {
-                connections: ConnectionCount(connections.0),
+                connections: *connections,
                 ..listed.entry.spec.clone()
             };
             let of_service = replicas.entry(service.clone()).or_default();
--- a/src/process/lead.rs
+++ b/src/process/lead.rs
@@ -1,10 +1,10 @@
 //! What an instance does on the platform for its cell: contends for the lease, renews
 //! it, publishes the summary, and takes over the lease of a cell that is lost.
 
-use super::cells::{CellId, Summary};
+use super::cells::CellId;
 use super::heartbeat::exchange;
 use super::lease::{Contend, Lease};
-use super::lease_store::{put_lease, put_summary, read_lease, read_summary, record};
+use super::lease_store::{empty, put_lease, put_summary, read_lease, read_summary, record};
 use super::{Expected, Instance, PlatformError};
 use crate::types::{Epoch, ObjectVersion, Span, Timestamp};
 
@@ -218,32 +218,6 @@
     members.begin_leading(sent);
 }
 
-/// Takes the lease of a lost cell for as long as it takes to state that nobody is in
-/// it, and gives it up again for whoever joins.
-async fn empty(instance: &Instance, cell: &CellId, epoch: Epoch, version: ObjectVersion) {
-    let taken = record(instance, epoch, 0, false);
-    let expected = Expected::Version(version);
-    let Ok(version) = put_lease(instance, cell, &taken, expected).await else {
-        return;
-    };
-    let Ok(expected) = read_summary(instance, cell).await else {
-        return;
-    };
-    let summary = Summary {
-        cell: cell.clone(),
-        version: instance.members.lock().next_version(cell, epoch),
-        members: indexmap::IndexMap::new(),
-    };
-    if put_summary(instance, &summary, expected).await.is_ok() {
-        instance.members.lock().adopt_summary(&summary);
-        tracing::info!(%cell, %epoch, "a lost cell is empty now");
-        instance.engine.metrics.members.lost_cell();
-    }
-    let released = record(instance, epoch, 1, true);
-    let expected = Expected::Version(version);
-    put_lease(instance, cell, &released, expected).await.ok();
-}
-
 /// Gives up the lease, so that another member can take it at once.
 pub(crate) async fn release(instance: &Instance) {
     let now = instance.clock.now();
--- a/src/process/lease_store.rs
+++ b/src/process/lease_store.rs
@@ -88,3 +88,34 @@
         .put(&cell_key(&summary.cell), json, expected)
         .await
 }
+
+/// Takes the lease of a lost cell for as long as it takes to state that nobody is in
+/// it, and gives it up again for whoever joins.
+pub(super) async fn empty(
+    instance: &Instance,
+    cell: &CellId,
+    epoch: Epoch,
+    version: ObjectVersion,
+) {
+    let taken = record(instance, epoch, 0, false);
+    let expected = Expected::Version(version);
+    let Ok(version) = put_lease(instance, cell, &taken, expected).await else {
+        return;
+    };
+    let Ok(expected) = read_summary(instance, cell).await else {
+        return;
+    };
+    let summary = Summary {
+        cell: cell.clone(),
+        version: instance.members.lock().next_version(cell, epoch),
+        members: indexmap::IndexMap::new(),
+    };
+    if put_summary(instance, &summary, expected).await.is_ok() {
+        instance.members.lock().adopt_summary(&summary);
+        tracing::info!(%cell, %epoch, "a lost cell is empty now");
+        instance.engine.metrics.members.lost_cell();
+    }
+    let released = record(instance, epoch, 1, true);
+    let expected = Expected::Version(version);
+    put_lease(instance, cell, &released, expected).await.ok();
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -101,8 +101,8 @@
 pub(crate) use engine::{Carrier, Engine, Workers};
 pub(crate) use exchange::{Ask, CellDelta, Heartbeat, HeartbeatReply, Met, Told};
 pub(crate) use fleet::{
-    Answered, Entry, EntryState, Follow, Meaning, News, Node, NodeSettings, Place, Presence,
-    Reason, ReplicaEntry, RouteRequest, SilenceReport, Silent, Stated,
+    Answered, Entry, EntryState, Follow, Meaning, News, Node, NodeSettings, Presence, Reason,
+    ReplicaEntry, RouteRequest, SilenceReport, Silent, Stated,
 };
 pub(crate) use instance::Instance;
 pub(crate) use latency::ClassLatency;
@@ -113,6 +113,6 @@
 pub(crate) use members::{Readiness, Role};
 pub(crate) use metrics::Metrics;
 pub(crate) use platform::{Backoff, CallBucket};
-pub(crate) use shutdown::{Shutdown, Step, StopTimes};
+pub(crate) use shutdown::{Lost, Shutdown, Step, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstreams::UpstreamLoad;
--- a/src/process/observed.rs
+++ b/src/process/observed.rs
@@ -33,10 +33,10 @@
 /// How fast the part that was shed is forgotten without legs: replicas that shed were seen
 /// to do so for five to nine seconds.
 const SHED_HALF_LIFE: Span = Span::from_secs(2);
-/// What a shed leg costs its query, in microseconds. It needs one of the few repeats that
+/// What a shed leg costs its query. It needs one of the few repeats that
 /// all instances share, and without one its part is missing: more than the users' longest
 /// target for a gather, 300 ms, is lost then.
-const SHED_COST: f64 = 500_000.0;
+const SHED_COST: Span = Span::from_millis(500);
 
 /// What is known of one upstream.
 #[derive(Clone, Debug)]
@@ -191,7 +191,7 @@
     /// What one more leg to it costs in time, in microseconds, when a leg that it runs
     /// takes `takes`: it may shed the leg, which then has to be sent again.
     pub(super) fn cost_micros(&self, now: Timestamp, takes: f64) -> f64 {
-        takes * f64::from(self.in_flight + 1) + self.shed_part(now) * SHED_COST
+        takes * f64::from(self.in_flight + 1) + self.shed_part(now) * micros(SHED_COST)
     }
 
     fn shed_part(&self, now: Timestamp) -> f64 {
