--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod silence;
 mod silence_agreement;
 mod store_reader;
+mod updates;
 
 #[cfg(test)]
 mod members_tests;
