Log how much of a peer's reply arrived, and why an instance is avoided

The error of a timeout now states the bytes received. Avoiding an instance because of its updates is logged with outcome and age. Two counters: hyssopwalk_updates by outcome and hyssopwalk_update_bytes.

--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -3,6 +3,7 @@
 //! permanently.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -46,9 +47,10 @@
     /// The peer did not prove that it has one of this instance's keys.
     #[error("the peer did not prove that it has a shared key")]
     Unauthenticated,
-    /// The reply did not arrive within the timeout.
-    #[error("no reply within the timeout")]
-    Timeout,
+    /// The reply was not complete within the timeout. The number of bytes tells a peer that
+    /// does not reply from one whose reply is too long for its link.
+    #[error("no complete reply within the timeout, {0} bytes of it received")]
+    Timeout(usize),
 }
 
 /// The connections of one instance to other instances.
@@ -76,8 +78,11 @@
         request: &PeerRequest,
         within: Span,
     ) -> Result<PeerResponse, PeerError> {
-        let result = timeout(within.as_duration(), self.try_request(addr, request)).await;
-        let response = result.unwrap_or(Err(PeerError::Timeout));
+        let received = AtomicUsize::new(0);
+        let trying = self.try_request(addr, request, &received);
+        let response = timeout(within.as_duration(), trying)
+            .await
+            .unwrap_or_else(|_| Err(PeerError::Timeout(received.load(Ordering::Relaxed))));
         if response.is_err() {
             self.connections.lock().swap_remove(&addr);
         }
@@ -88,6 +93,7 @@
         &self,
         addr: SocketAddr,
         request: &PeerRequest,
+        received: &AtomicUsize,
     ) -> Result<PeerResponse, PeerError> {
         let existing = self.connections.lock().get(&addr).cloned();
         let sender = match existing {
@@ -99,6 +105,7 @@
             REQUEST_PATH,
             &PeerRequestWire::from(request),
             MAX_MESSAGE_BYTES,
+            received,
         )
         .await?;
         let wire: PeerResponseWire = peer_wire::decode::<_, MAX_MESSAGE_BYTES>(&body)?;
@@ -129,7 +136,8 @@
             name: self.name.to_string(),
             nonce: peer_auth::nonce(),
         };
-        let body = call(sender, HELLO_PATH, &hello, MAX_HELLO_BYTES).await?;
+        let ignored = AtomicUsize::new(0);
+        let body = call(sender, HELLO_PATH, &hello, MAX_HELLO_BYTES, &ignored).await?;
         peer_wire::version(&body)?;
         let challenge: ChallengeWire = peer_wire::decode::<_, MAX_HELLO_BYTES>(&body)?;
         let transcript = Transcript {
@@ -143,16 +151,19 @@
             .find_map(|proof| peer_auth::find_key(&self.keys, Side::Server, &transcript, proof))
             .ok_or(PeerError::Unauthenticated)?;
         let proof = peer_auth::prove(key, Side::Client, &transcript);
-        call(sender, PROOF_PATH, &ProofWire { proof }, MAX_HELLO_BYTES).await?;
+        let proof = ProofWire { proof };
+        call(sender, PROOF_PATH, &proof, MAX_HELLO_BYTES, &ignored).await?;
         Ok(())
     }
 }
 
+/// Sends a message and reads the whole reply; `received` counts its bytes as they arrive.
 async fn call(
     sender: &SendRequest<Bytes>,
     path: &str,
     message: &impl Serialize,
     max_bytes: usize,
+    received: &AtomicUsize,
 ) -> Result<Vec<u8>, PeerError> {
     let body = peer_wire::encode(message)?;
     let mut sender = sender.clone().ready().await?;
@@ -166,15 +177,17 @@
     if head.status != StatusCode::OK {
         return Err(PeerError::Refused(head.status));
     }
-    read_body(body, max_bytes)
+    read_body(body, max_bytes, received)
         .await?
         .ok_or(PeerError::Refused(StatusCode::PAYLOAD_TOO_LARGE))
 }
 
-/// Reads a whole body; returns `None` if it has more than `max_bytes` bytes.
+/// Reads a whole body; returns `None` if it has more than `max_bytes` bytes. `received` counts
+/// the bytes as they arrive.
 pub(super) async fn read_body(
     mut body: RecvStream,
     max_bytes: usize,
+    received: &AtomicUsize,
 ) -> Result<Option<Vec<u8>>, h2::Error> {
     let mut buf = Vec::new();
     while let Some(chunk) = body.data().await {
@@ -183,6 +196,7 @@
             return Ok(None);
         }
         buf.extend_from_slice(&chunk);
+        received.store(buf.len(), Ordering::Relaxed);
         body.flow_control().release_capacity(chunk.len())?;
     }
     Ok(Some(buf))
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -2,6 +2,7 @@
 //! their requests.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
 
 use async_std::future::timeout;
 use async_std::net::{TcpListener, TcpStream};
@@ -108,7 +109,7 @@
     } else {
         MAX_HELLO_BYTES
     };
-    let result = match peer::read_body(body, max_bytes).await {
+    let result = match peer::read_body(body, max_bytes, &AtomicUsize::new(0)).await {
         Ok(Some(body)) => match head.uri.path() {
             HELLO_PATH => handle_hello(&*handler, &auth_state, &body),
             PROOF_PATH => handle_proof(&*handler, &auth_state, &body),
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -8,7 +8,8 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 
-use super::{FollowReason, FollowRequest, Node, Parent, Updates};
+use super::{Entry, FollowReason, FollowRequest, Node, Parent, Updates};
+use crate::process::member_metrics::UpdateOutcome;
 use crate::process::{PeerRequest, PeerResponse};
 use crate::types::{Incarnation, Position, Span};
 
@@ -135,6 +136,10 @@
         Ok(_) => None,
         Err(error) => {
             tracing::info!(%addr, %error, "an instance does not answer");
+            node.engine
+                .metrics
+                .members
+                .updated(UpdateOutcome::Failed, 0);
             let now = node.clock.now();
             node.fleet.lock().mark_unresponsive(now, addr);
             node.notify_waiters();
@@ -178,9 +183,18 @@
             learned |= fleet.apply_record(now, record);
         }
         let is_stale = updates.age.is_none_or(|age| age > stale_after(&fleet));
-        if is_stale || is_loop {
+        let outcome = match (is_loop, is_stale) {
+            (true, _) => UpdateOutcome::Loop,
+            (false, true) => UpdateOutcome::Stale,
+            (false, false) => UpdateOutcome::Applied,
+        };
+        if outcome != UpdateOutcome::Applied {
+            let age = updates.age.unwrap_or_default();
+            tracing::info!(%addr, ?outcome, %age, "avoids an instance because of its updates");
             fleet.avoid(now, addr);
         }
+        let bytes = updates.objects.iter().map(Entry::size).sum();
+        node.engine.metrics.members.updated(outcome, bytes);
     }
     if learned {
         node.notify_waiters();
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -20,6 +20,17 @@
     pub(crate) state: EntryState,
 }
 
+impl Entry {
+    /// Returns the approximate size of the entry in a message.
+    pub(super) fn size(&self) -> usize {
+        let value = match &self.state {
+            EntryState::Present(value) => value.len(),
+            EntryState::Gone | EntryState::Lapsed => 0,
+        };
+        self.key.as_str().len() + value
+    }
+}
+
 /// What is known of an object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum EntryState {
@@ -139,7 +150,7 @@
         let mut bytes = 0;
         let mut sent = Vec::new();
         for (at, entry) in changes {
-            bytes += approximate_size(entry);
+            bytes += entry.size();
             if bytes > max_bytes && !sent.is_empty() {
                 let up_to = Position(at.0 - 1);
                 return (sent, up_to);
@@ -160,14 +171,6 @@
     }
 }
 
-fn approximate_size(entry: &Entry) -> usize {
-    let value = match &entry.state {
-        EntryState::Present(value) => value.len(),
-        EntryState::Gone | EntryState::Lapsed => 0,
-    };
-    entry.key.as_str().len() + value
-}
-
 #[cfg(test)]
 #[path = "object_cache_tests.rs"]
 mod object_cache_tests;
--- a/src/process/member_metrics.rs
+++ b/src/process/member_metrics.rs
@@ -7,6 +7,29 @@
 use super::members::{Members, Readiness, Role};
 use crate::types::Timestamp;
 
+/// How a request for updates to another instance ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpdateOutcome {
+    Applied,
+    /// The updates came too long after the store confirmed them.
+    Stale,
+    /// The updates had passed through this instance before.
+    Loop,
+    /// No complete reply came.
+    Failed,
+}
+
+impl UpdateOutcome {
+    const fn code(self) -> &'static str {
+        match self {
+            Self::Applied => "applied",
+            Self::Stale => "stale",
+            Self::Loop => "loop",
+            Self::Failed => "failed",
+        }
+    }
+}
+
 /// The membership metrics of this instance.
 #[derive(Debug)]
 pub(crate) struct MemberMetrics {
@@ -21,6 +44,8 @@
     lost_cells: Counter<u64>,
     failed_heartbeats: Counter<u64>,
     refused_peers: Counter<u64>,
+    updates: Counter<u64>,
+    update_bytes: Counter<u64>,
 }
 
 impl MemberMetrics {
@@ -39,6 +64,8 @@
             lost_cells: counter("hyssopwalk_lost_cells"),
             failed_heartbeats: counter("hyssopwalk_failed_heartbeats"),
             refused_peers: counter("hyssopwalk_refused_peers"),
+            updates: counter("hyssopwalk_updates"),
+            update_bytes: counter("hyssopwalk_update_bytes"),
         }
     }
 
@@ -79,4 +106,11 @@
         let status = KeyValue::new("status", i64::from(status.as_u16()));
         self.refused_peers.add(1, &[status]);
     }
+
+    /// Records how a request for updates ended, and the size of the objects received.
+    pub(crate) fn updated(&self, outcome: UpdateOutcome, object_bytes: usize) {
+        let outcome = KeyValue::new("outcome", outcome.code());
+        self.updates.add(1, &[outcome]);
+        self.update_bytes.add(object_bytes as u64, &[]);
+    }
 }
