Show that a large configuration never crosses a slow link

The test starts two instances with a link of 300 or 800 kB/s between them and writes a configuration of the platform's maximum size. The follower has to have it in force within 6 s, the bound of the users' grown deployments, and must count as present meanwhile.

--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -21,6 +21,8 @@
 
 #[cfg(test)]
 mod members_tests;
+#[cfg(test)]
+mod slow_link_tests;
 
 pub(crate) use instance_record::InstanceRecord;
 pub(crate) use members::{Fleet, Parent};
