Send large objects between instances in parts that are kept

Cause: an update carried whole values, and a request for updates ended after 0.9 s however much of the reply had arrived. What arrived was thrown away, the instance that was sending counted as gone, and the next one was asked for everything again. A value of a megabyte takes more than 0.9 s between regions, and less so with every instance that asks once more.

Ruled out: the store (it answered every call), instances short of processor time (1%), peers that do not reply (542 of 615 timeouts had received a part).

A value above 16 KB is now announced and follows in parts of at most 64 KB, one with each request. What arrived is kept across requests and across the instances that are asked. A first start is confirmed only with everything announced.

Conclusion: the timeout was for a reply and was used for a transfer whose length grows with the configuration. Still open: 95 times an instance left another for stale updates while a large value was read from the store.

--- a/src/connection/fleet_samples.rs
+++ b/src/connection/fleet_samples.rs
@@ -7,10 +7,10 @@
 
 use super::peer_tests::{member, name};
 use crate::process::{
-    Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, ObjectKey, PeerRequest,
-    PeerResponse, SilenceReport, SilentReplica, Updates,
+    Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, LargeObject, ObjectKey,
+    ObjectPart, PartRequest, PeerRequest, PeerResponse, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{Fingerprint, Incarnation, ObjectVersion, Position, Span};
+use crate::types::{ByteCount, Fingerprint, Incarnation, ObjectVersion, Position, Span};
 
 prop_compose! {
     fn instance_record()(member in member(), seq: u64, capacity: u32) -> InstanceRecord {
@@ -32,6 +32,28 @@
     }
 }
 
+prop_compose! {
+    fn large_object()(key in name(), version: u64, size: u64) -> LargeObject {
+        LargeObject {
+            key: ObjectKey::new(key),
+            version: ObjectVersion(version),
+            size: ByteCount(size),
+        }
+    }
+}
+
+prop_compose! {
+    fn part_request()(object in large_object(), received: u64) -> PartRequest {
+        PartRequest { object, received: ByteCount(received) }
+    }
+}
+
+prop_compose! {
+    fn object_part()(object in large_object(), offset: u64, bytes: Vec<u8>) -> ObjectPart {
+        ObjectPart { object, offset: ByteCount(offset), bytes }
+    }
+}
+
 prop_compose! {
     fn silence_report()(upstream in name(), by in name(), age: u64) -> SilenceReport {
         SilenceReport {
@@ -56,6 +78,7 @@
         learned in vec(instance_record(), 0..4),
         poison: Vec<u64>,
         silent in vec(silence_report(), 0..4),
+        part in prop::option::of(part_request()),
     ) -> PeerRequest {
         PeerRequest::Follow(Box::new(FollowRequest {
             from,
@@ -66,6 +89,7 @@
             learned,
             poison: poison.into_iter().map(Fingerprint).collect(),
             silent,
+            part,
         }))
     }
 }
@@ -77,6 +101,9 @@
         age in prop::option::of(any::<u64>()),
         via in vec(name(), 0..4),
         objects in vec(entry(), 0..4),
+        large in vec(large_object(), 0..4),
+        part in prop::option::of(object_part()),
+        is_complete: bool,
         members in vec(instance_record(), 0..4),
         poison: Vec<u64>,
         silent in vec(silent_replica(), 0..4),
@@ -87,6 +114,9 @@
             age: age.map(Span),
             via: via.iter().map(|name| name.parse().unwrap()).collect(),
             objects,
+            large,
+            part,
+            is_complete,
             objects_to: Position(numbers[1]),
             members,
             members_to: Position(numbers[2]),
--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -1,15 +1,13 @@
 //! The `bincode` types of follow requests and updates; see `peer_wire.rs` for the encoding.
 
-use std::sync::Arc;
-
 use serde::{Deserialize, Serialize};
 
+use super::entry_wire::{EntryWire, PartRequestWire, entries, received};
 use super::peer_wire::{MemberWire, PeerWireError, collect};
 use crate::process::{
-    Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, ObjectKey, SilenceReport,
-    SilentReplica, Updates,
+    FollowReason, FollowRequest, InstanceRecord, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span};
+use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -19,22 +17,6 @@
     capacity: u32,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) enum EntryStateWire {
-    Held(Vec<u8>),
-    Gone,
-    Lapsed,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct EntryWire {
-    key: String,
-    version: u64,
-    state: EntryStateWire,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) enum FollowReasonWire {
@@ -108,36 +90,6 @@
     }
 }
 
-impl From<&Entry> for EntryWire {
-    fn from(entry: &Entry) -> Self {
-        let state = match &entry.state {
-            EntryState::Present(value) => EntryStateWire::Held(value.to_vec()),
-            EntryState::Gone => EntryStateWire::Gone,
-            EntryState::Lapsed => EntryStateWire::Lapsed,
-        };
-        Self {
-            key: entry.key.to_string(),
-            version: entry.version.0,
-            state,
-        }
-    }
-}
-
-impl From<EntryWire> for Entry {
-    fn from(wire: EntryWire) -> Self {
-        let state = match wire.state {
-            EntryStateWire::Held(value) => EntryState::Present(Arc::from(value)),
-            EntryStateWire::Gone => EntryState::Gone,
-            EntryStateWire::Lapsed => EntryState::Lapsed,
-        };
-        Self {
-            key: ObjectKey::new(wire.key),
-            version: ObjectVersion(wire.version),
-            state,
-        }
-    }
-}
-
 impl From<FollowReason> for FollowReasonWire {
     fn from(reason: FollowReason) -> Self {
         match reason {
@@ -236,6 +188,18 @@
             learned: collect(wire.learned)?,
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
             silent: collect(wire.silent)?,
+            part: None,
+        })
+    }
+}
+
+impl FollowRequestWire {
+    /// Decodes a follow request that came with a request for a part of an object.
+    pub(super) fn with_part(self, part: PartRequestWire) -> Result<FollowRequest, PeerWireError> {
+        let part = Some(part.into());
+        Ok(FollowRequest {
+            part,
+            ..self.try_into()?
         })
     }
 }
@@ -247,7 +211,7 @@
             of: updates.of.0,
             age_us: updates.age.map(|age| age.0),
             via: updates.via.iter().map(ToString::to_string).collect(),
-            objects: updates.objects.iter().map(EntryWire::from).collect(),
+            objects: entries(updates),
             objects_to: updates.objects_to.0,
             members: updates
                 .members
@@ -270,13 +234,17 @@
 
     fn try_from(wire: UpdatesWire) -> Result<Self, PeerWireError> {
         let via: Result<Vec<InstanceName>, _> = wire.via.iter().map(|name| name.parse()).collect();
+        let received = received(wire.objects);
         Ok(Self {
             from: wire.from.try_into()?,
             of: Incarnation(wire.of),
             age: wire.age_us.map(Span),
             via: via?,
-            objects: wire.objects.into_iter().map(Entry::from).collect(),
+            objects: received.entries,
+            large: received.large,
+            part: received.part,
             objects_to: Position(wire.objects_to),
+            is_complete: true,
             members: collect(wire.members)?,
             members_to: Position(wire.members_to),
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod conn;
 mod disconnect_watch;
+mod entry_wire;
 mod exchange;
 #[cfg(test)]
 mod fleet_samples;
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -6,9 +6,10 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::entry_wire::PartRequestWire;
 use super::fleet_wire::{FollowRequestWire, UpdatesWire};
 use super::heartbeat_wire::{HeartbeatReplyWire, HeartbeatWire, ObjectWire};
-use crate::process::{Member, Object, ObjectKey, PeerRequest, PeerResponse};
+use crate::process::{Member, Object, ObjectKey, PeerRequest, PeerResponse, Updates};
 use crate::types::{Incarnation, ParseError};
 
 /// The version of this protocol. Two instances must use the same version.
@@ -103,6 +104,8 @@
     Heartbeat(Box<HeartbeatWire>),
     Fetch(Vec<String>),
     Follow(Box<FollowRequestWire>),
+    /// A follow request that also requests a part of an object.
+    FollowPart(Box<FollowRequestWire>, PartRequestWire),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -111,6 +114,8 @@
     Heartbeat(Box<HeartbeatReplyWire>),
     Objects(Vec<ObjectWire>),
     News(Box<UpdatesWire>),
+    /// Updates that are not complete: the sender has more for the follower.
+    MoreNews(Box<UpdatesWire>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -166,7 +171,13 @@
                 Self::Heartbeat(Box::new(heartbeat.as_ref().into()))
             }
             PeerRequest::Fetch(keys) => Self::Fetch(keys.iter().map(ToString::to_string).collect()),
-            PeerRequest::Follow(follow) => Self::Follow(Box::new(follow.as_ref().into())),
+            PeerRequest::Follow(follow) => {
+                let wire = Box::new(follow.as_ref().into());
+                match &follow.part {
+                    None => Self::Follow(wire),
+                    Some(part) => Self::FollowPart(wire, part.into()),
+                }
+            }
         }
     }
 }
@@ -183,6 +194,9 @@
                 Self::Fetch(keys.into_iter().map(ObjectKey::new).collect())
             }
             PeerRequestWire::Follow(follow) => Self::Follow(Box::new((*follow).try_into()?)),
+            PeerRequestWire::FollowPart(follow, part) => {
+                Self::Follow(Box::new(follow.with_part(part)?))
+            }
         })
     }
 }
@@ -197,7 +211,14 @@
                     .map(|object| ObjectWire::from(object.as_ref()))
                     .collect(),
             ),
-            PeerResponse::News(updates) => Self::News(Box::new(updates.as_ref().into())),
+            PeerResponse::News(updates) => {
+                let wire = Box::new(updates.as_ref().into());
+                if updates.is_complete {
+                    Self::News(wire)
+                } else {
+                    Self::MoreNews(wire)
+                }
+            }
         }
     }
 }
@@ -215,6 +236,10 @@
                     .collect(),
             ),
             PeerResponseWire::News(updates) => Self::News(Box::new((*updates).try_into()?)),
+            PeerResponseWire::MoreNews(updates) => Self::News(Box::new(Updates {
+                is_complete: false,
+                ..(*updates).try_into()?
+            })),
         })
     }
 }
--- /dev/null
+++ b/src/process/fleet/apply.rs
@@ -0,0 +1,139 @@
+//! How an instance applies the platform's objects, whoever it received them from.
+
+use std::sync::Arc;
+
+use super::{DecodedObject, Entry, EntryState, LargeObject, Node, ObjectPart, ReplicaEntry};
+use crate::process::Catalog;
+use crate::process::cells::MemberState;
+use crate::types::{Span, UpstreamName};
+use crate::version::RouteTable;
+
+impl Node {
+    /// Applies entries from any source and makes a new catalog if any of them is newer than
+    /// the known one.
+    pub(super) fn apply_entries(&self, entries: Vec<Entry>) {
+        let changed: Vec<Entry> = {
+            let mut object_cache = self.object_cache.lock();
+            let mut entries = entries;
+            entries.retain(|entry| object_cache.apply(entry.clone()));
+            entries
+        };
+        if changed.is_empty() {
+            return;
+        }
+        let mut table = None;
+        let mut withdrawn = Vec::new();
+        for entry in &changed {
+            match self.decode(entry) {
+                Some(DecodedObject::Routes(routes)) => table = Some(routes),
+                Some(DecodedObject::Replica(replica)) => {
+                    withdrawn.extend(self.update_replica(entry, Some(replica)));
+                }
+                None => withdrawn.extend(self.update_replica(entry, None)),
+            }
+        }
+        self.replace_catalog(table, &withdrawn);
+        self.notify_waiters();
+    }
+
+    fn decode(&self, entry: &Entry) -> Option<DecodedObject> {
+        let EntryState::Present(value) = &entry.state else {
+            return None;
+        };
+        let decoded = self.object_decoder.read(&entry.key, value);
+        if let Err(error) = &decoded {
+            tracing::warn!(key = %entry.key, version = %entry.version, %error, "an object could not be decoded");
+        }
+        decoded.ok()
+    }
+
+    fn update_replica(&self, entry: &Entry, replica: Option<ReplicaEntry>) -> Option<UpstreamName> {
+        let now = self.clock.now();
+        let mut replica_registry = self.replica_registry.lock();
+        replica_registry.apply(now, &entry.key, &entry.state, replica)
+    }
+
+    /// Drops the replicas that lapsed with an outage and did not come back in time.
+    pub(super) fn drop_lapsed(&self) {
+        let now = self.clock.now();
+        let withdrawn = {
+            let mut replica_registry = self.replica_registry.lock();
+            if replica_registry.next_drop().is_none_or(|at| at > now) {
+                return;
+            }
+            replica_registry.drop_lapsed(now)
+        };
+        self.replace_catalog(None, &withdrawn);
+    }
+
+    /// Makes a new catalog of the configuration and the replicas. A configuration never
+    /// goes back to an older version.
+    fn replace_catalog(&self, table: Option<RouteTable>, withdrawn: &[UpstreamName]) {
+        let replica_registry = self.replica_registry.lock();
+        let mut catalog = self.catalog.lock();
+        let newer = table.filter(|table| table.version > catalog.table.version);
+        if let Some(table) = &newer {
+            tracing::info!(version = %table.version, "a configuration is in force");
+        }
+        let table = newer.map_or_else(|| Arc::clone(&catalog.table), Arc::new);
+        let replicas = replica_registry.replicas(&table);
+        *catalog = Arc::new(Catalog::new(table, &replicas));
+        drop(catalog);
+        drop(replica_registry);
+        for name in withdrawn {
+            tracing::info!(upstream = %name, "no new legs go to a replica");
+        }
+        let mut upstreams = self.engine.tables.upstreams.lock();
+        upstreams.withdraw(withdrawn, &replicas);
+    }
+
+    /// Records that the store itself confirmed everything under a prefix.
+    pub(super) fn confirm_prefix(&self, prefix: &'static str) {
+        let now = self.clock.now();
+        if self.object_cache.lock().confirm_prefix(now, prefix) {
+            self.become_ready_if_known();
+        }
+    }
+
+    /// Applies what another instance sent of the objects. Returns whether every announced
+    /// object has arrived in full.
+    pub(super) fn apply_objects(
+        &self,
+        mut entries: Vec<Entry>,
+        large: Vec<LargeObject>,
+        part: Option<ObjectPart>,
+    ) -> bool {
+        {
+            let mut object_cache = self.object_cache.lock();
+            for object in large {
+                object_cache.announce(object);
+            }
+            entries.extend(part.and_then(|part| object_cache.add_part(&part)));
+        }
+        self.apply_entries(entries);
+        !self.object_cache.lock().has_incoming()
+    }
+
+    /// Records that the sender of updates had matched the store's state `age` ago. The
+    /// first time, only an instance that has everything the sender has may rely on it.
+    pub(super) fn confirm(&self, age: Span, has_everything: bool) {
+        let now = self.clock.now();
+        {
+            let mut object_cache = self.object_cache.lock();
+            if !has_everything && !object_cache.is_initialized() {
+                return;
+            }
+            object_cache.confirm(now, age);
+        }
+        self.become_ready_if_known();
+    }
+
+    /// Makes a joining instance live once a configuration is known.
+    fn become_ready_if_known(&self) {
+        let is_joining = self.fleet.lock().me().member.state == MemberState::Joining;
+        if is_joining && self.catalog().is_known() {
+            tracing::info!("ready for callers");
+            self.set_state(MemberState::Live);
+        }
+    }
+}
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 
-use super::{Entry, FollowReason, FollowRequest, Node, Parent, Updates};
+use super::{FollowReason, FollowRequest, Node, Parent, Updates};
 use crate::process::member_metrics::UpdateOutcome;
 use crate::process::{PeerRequest, PeerResponse};
 use crate::types::{Incarnation, Position, Span};
@@ -156,6 +156,10 @@
     let now = node.clock.now();
     let poison = node.engine.tables.suspects.lock().poison_requests(now);
     let silent = node.silence.lock().reports(now);
+    let part = match reason {
+        FollowReason::Follows => node.object_cache.lock().next_part_request(),
+        FollowReason::Joins | FollowReason::Looks => None,
+    };
     let fleet = node.fleet.lock();
     let (learned, sent) = fleet.since(progress.sent);
     let follow = FollowRequest {
@@ -167,6 +171,7 @@
         learned,
         poison,
         silent,
+        part,
     };
     (follow, sent)
 }
@@ -175,6 +180,7 @@
     let now = node.clock.now();
     let me = &node.settings.me.member.name;
     let is_loop = updates.via.contains(me);
+    let bytes = updates.size();
     let mut learned = false;
     {
         let mut fleet = node.fleet.lock();
@@ -193,7 +199,6 @@
             tracing::info!(%addr, ?outcome, %age, "avoids an instance because of its updates");
             fleet.avoid(now, addr);
         }
-        let bytes = updates.objects.iter().map(Entry::size).sum();
         node.engine.metrics.members.updated(outcome, bytes);
     }
     if learned {
@@ -201,13 +206,15 @@
     }
     mark_poison(node, &updates.poison);
     node.accept_agreed_silence(updates.silent);
-    node.apply_entries(updates.objects);
-    if let Some(age) = updates.age
+    let is_complete = updates.is_complete;
+    let (age, via) = (updates.age, updates.via);
+    let has_everything = node.apply_objects(updates.objects, updates.large, updates.part);
+    if let Some(age) = age
         && !is_loop
     {
-        node.confirm(age);
+        node.confirm(age, is_complete && has_everything);
     }
-    *node.via.lock() = updates.via;
+    *node.via.lock() = via;
     Progress {
         objects: updates.objects_to,
         members: updates.members_to,
--- a/src/process/fleet/messages.rs
+++ b/src/process/fleet/messages.rs
@@ -1,6 +1,8 @@
 //! The messages between a follower and its parent.
 
-use super::{Entry, InstanceRecord, SilenceReport, SilentReplica};
+use super::{
+    Entry, InstanceRecord, LargeObject, ObjectPart, PartRequest, SilenceReport, SilentReplica,
+};
 use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
 
 /// Why an instance sends a request for updates.
@@ -31,6 +33,8 @@
     pub(crate) poison: Vec<Fingerprint>,
     /// Replicas that the sender or its followers found silent.
     pub(crate) silent: Vec<SilenceReport>,
+    /// The part that the sender lacks of an announced object.
+    pub(crate) part: Option<PartRequest>,
 }
 
 /// The updates that a follower lacks.
@@ -44,7 +48,14 @@
     /// The instances that the objects were passed on by, the sender first.
     pub(crate) via: Vec<InstanceName>,
     pub(crate) objects: Vec<Entry>,
+    /// Announces objects whose values are sent in parts.
+    pub(crate) large: Vec<LargeObject>,
+    /// The requested part of an announced object.
+    pub(crate) part: Option<ObjectPart>,
     pub(crate) objects_to: Position,
+    /// Whether these are all updates that the sender has for the follower now, apart from
+    /// the values of announced objects.
+    pub(crate) is_complete: bool,
     pub(crate) members: Vec<InstanceRecord>,
     pub(crate) members_to: Position,
     /// Requests that crashed upstreams.
@@ -52,3 +63,11 @@
     /// Replicas that enough instances found silent.
     pub(crate) silent: Vec<SilentReplica>,
 }
+
+impl Updates {
+    /// Returns the approximate size of the objects in the message.
+    pub(super) fn size(&self) -> usize {
+        let part = self.part.as_ref().map_or(0, |part| part.bytes.len());
+        self.objects.iter().map(Entry::size).sum::<usize>() + part
+    }
+}
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -5,8 +5,10 @@
 //! carries them out. See `docs/DESIGN.md`, "On the platform".
 
 mod addresses;
+mod apply;
 mod follow;
 mod instance_record;
+mod large_objects;
 mod members;
 mod messages;
 mod node;
@@ -25,6 +27,7 @@
 mod slow_link_tests;
 
 pub(crate) use instance_record::InstanceRecord;
+pub(crate) use large_objects::{LargeObject, ObjectPart, PartRequest};
 pub(crate) use members::{Fleet, Parent};
 pub(crate) use messages::{FollowReason, FollowRequest, Updates};
 pub(crate) use node::{Node, NodeSettings};
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -1,5 +1,4 @@
-//! One instance on a platform that serves requests by routes: its tables, and how it
-//! applies updates.
+//! One instance on a platform that serves requests by routes, and its tables.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,16 +8,15 @@
 
 use super::addresses;
 use super::{
-    DecodedObject, Entry, EntryState, Fleet, InstanceRecord, ObjectCache, ObjectDecoder,
-    ReplicaEntry, ReplicaRegistry, SilenceTracker, follow, store_reader,
+    Fleet, InstanceRecord, ObjectCache, ObjectDecoder, ReplicaRegistry, SilenceTracker, follow,
+    store_reader,
 };
 use crate::connection::Peers;
 use crate::process::cells::MemberState;
 use crate::process::instance_count::InstanceCount;
 use crate::process::shutdown::{Shutdown, StopTimes};
 use crate::process::{CallerLocation, Catalog, Clock, Engine, Platform, Rank, Ranked, RetryLimits};
-use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp, UpstreamName};
-use crate::version::RouteTable;
+use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp};
 
 /// How long the limits still count an instance that is gone, since it may only be cut off.
 const COUNT_GONE_FOR: Span = Span::from_secs(20);
@@ -64,7 +62,7 @@
     pub(super) silence: Ranked<SilenceTracker>,
     pub(super) object_cache: Ranked<ObjectCache>,
     pub(super) replica_registry: Ranked<ReplicaRegistry>,
-    catalog: Ranked<Arc<Catalog>>,
+    pub(super) catalog: Ranked<Arc<Catalog>>,
     /// The longest time that callers of each route were seen to allow: their full timeout.
     pub(super) longest_time_left: Ranked<IndexMap<RouteName, Span>>,
     /// The instances that the objects were passed on by, without this one.
@@ -147,108 +145,6 @@
         addresses::choose(self.fleet.lock().present(), caller)
     }
 
-    /// Applies entries from any source and makes a new catalog if any of them is newer than
-    /// the known one.
-    pub(super) fn apply_entries(&self, entries: Vec<Entry>) {
-        let changed: Vec<Entry> = {
-            let mut object_cache = self.object_cache.lock();
-            let mut entries = entries;
-            entries.retain(|entry| object_cache.apply(entry.clone()));
-            entries
-        };
-        if changed.is_empty() {
-            return;
-        }
-        let mut table = None;
-        let mut withdrawn = Vec::new();
-        for entry in &changed {
-            match self.decode(entry) {
-                Some(DecodedObject::Routes(routes)) => table = Some(routes),
-                Some(DecodedObject::Replica(replica)) => {
-                    withdrawn.extend(self.update_replica(entry, Some(replica)));
-                }
-                None => withdrawn.extend(self.update_replica(entry, None)),
-            }
-        }
-        self.replace_catalog(table, &withdrawn);
-        self.notify_waiters();
-    }
-
-    fn decode(&self, entry: &Entry) -> Option<DecodedObject> {
-        let EntryState::Present(value) = &entry.state else {
-            return None;
-        };
-        let decoded = self.object_decoder.read(&entry.key, value);
-        if let Err(error) = &decoded {
-            tracing::warn!(key = %entry.key, version = %entry.version, %error, "an object could not be decoded");
-        }
-        decoded.ok()
-    }
-
-    fn update_replica(&self, entry: &Entry, replica: Option<ReplicaEntry>) -> Option<UpstreamName> {
-        let now = self.clock.now();
-        let mut replica_registry = self.replica_registry.lock();
-        replica_registry.apply(now, &entry.key, &entry.state, replica)
-    }
-
-    /// Drops the replicas that lapsed with an outage and did not come back in time.
-    pub(super) fn drop_lapsed(&self) {
-        let now = self.clock.now();
-        let withdrawn = {
-            let mut replica_registry = self.replica_registry.lock();
-            if replica_registry.next_drop().is_none_or(|at| at > now) {
-                return;
-            }
-            replica_registry.drop_lapsed(now)
-        };
-        self.replace_catalog(None, &withdrawn);
-    }
-
-    /// Makes a new catalog of the configuration and the replicas. A configuration never
-    /// goes back to an older version.
-    fn replace_catalog(&self, table: Option<RouteTable>, withdrawn: &[UpstreamName]) {
-        let replica_registry = self.replica_registry.lock();
-        let mut catalog = self.catalog.lock();
-        let newer = table.filter(|table| table.version > catalog.table.version);
-        if let Some(table) = &newer {
-            tracing::info!(version = %table.version, "a configuration is in force");
-        }
-        let table = newer.map_or_else(|| Arc::clone(&catalog.table), Arc::new);
-        let replicas = replica_registry.replicas(&table);
-        *catalog = Arc::new(Catalog::new(table, &replicas));
-        drop(catalog);
-        drop(replica_registry);
-        for name in withdrawn {
-            tracing::info!(upstream = %name, "no new legs go to a replica");
-        }
-        let mut upstreams = self.engine.tables.upstreams.lock();
-        upstreams.withdraw(withdrawn, &replicas);
-    }
-
-    /// Records that the store itself confirmed everything under a prefix.
-    pub(super) fn confirm_prefix(&self, prefix: &'static str) {
-        let now = self.clock.now();
-        if self.object_cache.lock().confirm_prefix(now, prefix) {
-            self.become_ready_if_known();
-        }
-    }
-
-    /// Records that the known objects matched the store's state `age` ago.
-    pub(super) fn confirm(&self, age: Span) {
-        let now = self.clock.now();
-        self.object_cache.lock().confirm(now, age);
-        self.become_ready_if_known();
-    }
-
-    /// Makes a joining instance live once a configuration is known.
-    fn become_ready_if_known(&self) {
-        let is_joining = self.fleet.lock().me().member.state == MemberState::Joining;
-        if is_joining && self.catalog().is_known() {
-            tracing::info!("ready for callers");
-            self.set_state(MemberState::Live);
-        }
-    }
-
     /// Whether this instance may read the store before it has updates from another
     /// instance. Seeds, which other instances contact first, may at once. The others wait a
     /// moment for the seeds, so that the store isn't read once for each instance when a
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -9,6 +9,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 
+use super::large_objects::{IncomingObjects, LargeObject, ObjectPart, PartRequest};
 use crate::process::ObjectKey;
 use crate::types::{ObjectVersion, Position, Revision, Span, Timestamp};
 
@@ -42,10 +43,24 @@
     Lapsed,
 }
 
+/// The changes of the cache after a position.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CacheChanges {
+    /// The changed objects, oldest change first.
+    pub(crate) entries: Vec<Entry>,
+    /// The changed objects whose values are sent in parts.
+    pub(crate) large: Vec<LargeObject>,
+    /// The position that the changes reach.
+    pub(crate) up_to: Position,
+    /// Whether no change follows.
+    pub(crate) is_complete: bool,
+}
+
 /// Every object under the followed prefixes.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ObjectCache {
     entries: IndexMap<ObjectKey, (Position, Entry)>,
+    incoming: IncomingObjects,
     last_position: Position,
     /// The number of followed prefixes.
     prefixes: usize,
@@ -106,6 +121,7 @@
             }
         }
         self.last_position = Position(self.last_position.0 + 1);
+        self.incoming.discard(&entry.key, entry.version);
         self.entries
             .insert(entry.key.clone(), (self.last_position, entry));
         true
@@ -141,23 +157,62 @@
             .collect()
     }
 
-    /// Returns the changes after a position, oldest first and at most about `max_bytes` of
-    /// them, and the position they reach.
-    pub(crate) fn since(&self, from: Position, max_bytes: usize) -> (Vec<Entry>, Position) {
+    /// Records that an object was announced whose value is sent in parts.
+    pub(crate) fn announce(&mut self, object: LargeObject) {
+        let known = self.entries.get(&object.key);
+        if known.is_none_or(|(_, known)| object.version > known.version) {
+            self.incoming.announce(object);
+        }
+    }
+
+    /// Whether an announced object has not arrived in full.
+    pub(crate) fn has_incoming(&self) -> bool {
+        !self.incoming.is_empty()
+    }
+
+    /// Returns the request for the next part of an announced object.
+    pub(crate) fn next_part_request(&self) -> Option<PartRequest> {
+        self.incoming.next_request()
+    }
+
+    /// Adds a part of an announced object. Returns the object's entry, which is yet to be
+    /// applied, when its value is complete.
+    pub(crate) fn add_part(&mut self, part: &ObjectPart) -> Option<Entry> {
+        self.incoming.add(part)
+    }
+
+    /// Returns the requested part of a value, if this instance has the object at the
+    /// requested version or a later one.
+    pub(crate) fn part(&self, request: &PartRequest, max_bytes: usize) -> Option<ObjectPart> {
+        let (_, entry) = self.entries.get(&request.object.key)?;
+        if entry.version < request.object.version {
+            return None;
+        }
+        ObjectPart::answer(entry, request, max_bytes)
+    }
+
+    /// Returns the changes after a position, with at most about `max_bytes` of values.
+    pub(crate) fn since(&self, from: Position, max_bytes: usize) -> CacheChanges {
         let mut changes: Vec<&(Position, Entry)> =
             self.entries.values().filter(|(at, _)| *at > from).collect();
         changes.sort_unstable_by_key(|(at, _)| *at);
         let mut bytes = 0;
-        let mut sent = Vec::new();
+        let mut sent = CacheChanges::default();
         for (at, entry) in changes {
+            if let Some(large) = LargeObject::of(entry) {
+                sent.large.push(large);
+                continue;
+            }
             bytes += entry.size();
-            if bytes > max_bytes && !sent.is_empty() {
-                let up_to = Position(at.0 - 1);
-                return (sent, up_to);
+            if bytes > max_bytes && !sent.entries.is_empty() {
+                sent.up_to = Position(at.0 - 1);
+                return sent;
             }
-            sent.push(entry.clone());
+            sent.entries.push(entry.clone());
         }
-        (sent, self.last_position)
+        sent.up_to = self.last_position;
+        sent.is_complete = true;
+        sent
     }
 }
 
--- a/src/process/fleet/object_cache_tests.rs
+++ b/src/process/fleet/object_cache_tests.rs
@@ -56,8 +56,8 @@
     for update in case.updates {
         object_cache.apply(entry(*update));
     }
-    let (sent, _) = object_cache.since(Position(0), MAX_BYTES);
-    assert_eq!(sent, [entry(case.wanted)]);
+    let sent = object_cache.since(Position(0), MAX_BYTES);
+    assert_eq!(sent.entries, [entry(case.wanted)]);
 }
 
 #[test]
@@ -98,10 +98,14 @@
     let mut from = Position(0);
     let mut sent = Vec::new();
     while from < object_cache.last_position() {
-        let (batch, up_to) = object_cache.since(from, 250);
-        assert!(up_to > from);
-        sent.extend(batch);
-        from = up_to;
+        let batch = object_cache.since(from, 250);
+        assert!(batch.up_to > from);
+        assert_eq!(
+            batch.is_complete,
+            batch.up_to == object_cache.last_position()
+        );
+        sent.extend(batch.entries);
+        from = batch.up_to;
     }
     assert_eq!(sent.len(), 10);
 }
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -2,13 +2,15 @@
 
 use async_std::future::timeout;
 
-use super::{FollowReason, FollowRequest, Node, Updates, follow};
+use super::{FollowReason, FollowRequest, Node, PartRequest, Updates, follow};
 use crate::types::{Incarnation, Position, Span};
 
 /// How long a request waits for updates before it gets an empty answer.
 const UPDATES_WAIT: Span = Span::from_millis(400);
-/// The approximate limit on the objects in one message.
-const MAX_OBJECT_BYTES: usize = 1 << 20;
+/// The approximate limit on the objects in one message, and on the part of a large one. A
+/// message has to cross a slow link that several followers share within the timeout of a
+/// request.
+const MAX_OBJECT_BYTES: usize = 64 << 10;
 
 impl Node {
     /// Answers a follower with the changes it lacks, as soon as there are any.
@@ -38,17 +40,36 @@
             FollowReason::Follows | FollowReason::Joins => (Position(0), Position(0)),
         };
         let changed = self.next_change();
-        let is_up_to_date = self.object_cache.lock().last_position() == objects
-            && self.fleet.lock().last_position() == members;
-        if is_up_to_date {
+        let part = follow.part.as_ref();
+        if !self.has_updates(objects, members, part) {
             timeout(UPDATES_WAIT.as_duration(), changed.recv())
                 .await
                 .ok();
         }
-        self.updates_since(me, objects, members)
+        self.updates_since(me, objects, members, part)
     }
 
-    fn updates_since(&self, of: Incarnation, objects: Position, members: Position) -> Updates {
+    fn has_updates(
+        &self,
+        objects: Position,
+        members: Position,
+        part: Option<&PartRequest>,
+    ) -> bool {
+        if self.fleet.lock().last_position() != members {
+            return true;
+        }
+        let object_cache = self.object_cache.lock();
+        object_cache.last_position() != objects
+            || part.is_some_and(|part| object_cache.part(part, 1).is_some())
+    }
+
+    fn updates_since(
+        &self,
+        of: Incarnation,
+        objects: Position,
+        members: Position,
+        part: Option<&PartRequest>,
+    ) -> Updates {
         let now = self.clock.now();
         let (from, (members, members_to)) = {
             let fleet = self.fleet.lock();
@@ -56,11 +77,12 @@
         };
         let poison = self.engine.tables.suspects.lock().poison_requests(now);
         let silent = self.silence.lock().agreed(now);
-        let (age, (objects, objects_to)) = {
+        let (age, changes, part) = {
             let object_cache = self.object_cache.lock();
             (
                 object_cache.age(now),
                 object_cache.since(objects, MAX_OBJECT_BYTES),
+                part.and_then(|part| object_cache.part(part, MAX_OBJECT_BYTES)),
             )
         };
         let mut via = vec![from.member.name.clone()];
@@ -70,8 +92,11 @@
             of,
             age,
             via,
-            objects,
-            objects_to,
+            objects: changes.entries,
+            large: changes.large,
+            part,
+            objects_to: changes.up_to,
+            is_complete: changes.is_complete,
             members,
             members_to,
             poison,
