--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -13,11 +13,8 @@
 
 /// A typical reply fits into one read.
 const READ_BYTES: usize = 4 << 10;
-const MAX_TRAILER_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
-/// The maximum length of a chunk's size line.
-const MAX_CHUNK_LINE_BYTES: usize = 256;
 
 /// Why a message could not be read.
 #[derive(Debug)]
@@ -47,7 +44,7 @@
 #[derive(Debug)]
 pub(crate) struct Http1Conn {
     stream: TcpStream,
-    buf: Vec<u8>,
+    pub(super) buf: Vec<u8>,
 }
 
 impl Http1Conn {
@@ -196,67 +193,14 @@
         }
     }
 
-    async fn read_chunks(&mut self, max_bytes: usize) -> Result<Vec<u8>, HttpError> {
-        let mut body = Vec::new();
-        loop {
-            let len = self.read_chunk_len().await?;
-            if len == 0 {
-                self.skip_trailer().await?;
-                return Ok(body);
-            }
-            if body.len() + len > max_bytes {
-                return Err(HttpError::BodyTooLarge);
-            }
-            self.fill_to(len + 2).await?;
-            if &self.buf[len..len + 2] != b"\r\n" {
-                return Err(HttpError::Malformed("a chunk does not match its size"));
-            }
-            body.extend_from_slice(&self.buf[..len]);
-            self.buf.drain(..len + 2);
-        }
-    }
-
-    async fn read_chunk_len(&mut self) -> Result<usize, HttpError> {
-        loop {
-            let parsed = httparse::parse_chunk_size(&self.buf);
-            match parsed.map_err(|_| HttpError::Malformed("a chunk size is invalid"))? {
-                httparse::Status::Complete((consumed, len)) => {
-                    self.buf.drain(..consumed);
-                    return Ok(usize::try_from(len).unwrap_or(usize::MAX / 2));
-                }
-                httparse::Status::Partial if self.buf.len() > MAX_CHUNK_LINE_BYTES => {
-                    return Err(HttpError::Malformed("a chunk size line is too long"));
-                }
-                httparse::Status::Partial => self.fill_more().await?,
-            }
-        }
-    }
-
-    /// Reads and discards the trailer fields after the last chunk.
-    async fn skip_trailer(&mut self) -> Result<(), HttpError> {
-        loop {
-            if let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") {
-                self.buf.drain(..at + 2);
-                if at == 0 {
-                    return Ok(());
-                }
-                continue;
-            }
-            if self.buf.len() > MAX_TRAILER_BYTES {
-                return Err(HttpError::Malformed("the trailer is too long"));
-            }
-            self.fill_more().await?;
-        }
-    }
-
-    async fn fill_to(&mut self, len: usize) -> Result<(), HttpError> {
+    pub(super) async fn fill_to(&mut self, len: usize) -> Result<(), HttpError> {
         while self.buf.len() < len {
             self.fill_more().await?;
         }
         Ok(())
     }
 
-    async fn fill_more(&mut self) -> Result<(), HttpError> {
+    pub(super) async fn fill_more(&mut self) -> Result<(), HttpError> {
         match self.fill().await? {
             0 => Err(HttpError::Truncated),
             _ => Ok(()),
--- /dev/null
+++ b/src/connection/http1_chunks.rs
@@ -0,0 +1,66 @@
+//! Chunked bodies of HTTP/1.1 messages.
+
+use super::http1::{Http1Conn, HttpError};
+
+const MAX_TRAILER_BYTES: usize = 16 << 10;
+/// The maximum length of a chunk's size line.
+const MAX_CHUNK_LINE_BYTES: usize = 256;
+
+impl Http1Conn {
+    /// Reads a chunked body of at most `max_bytes` bytes, and the trailer after it.
+    ///
+    /// # Errors
+    /// Any [`HttpError`]; [`HttpError::Truncated`] if the connection ends before the body.
+    pub(super) async fn read_chunks(&mut self, max_bytes: usize) -> Result<Vec<u8>, HttpError> {
+        let mut body = Vec::new();
+        loop {
+            let len = self.read_chunk_len().await?;
+            if len == 0 {
+                self.skip_trailer().await?;
+                return Ok(body);
+            }
+            if body.len() + len > max_bytes {
+                return Err(HttpError::BodyTooLarge);
+            }
+            self.fill_to(len + 2).await?;
+            if &self.buf[len..len + 2] != b"\r\n" {
+                return Err(HttpError::Malformed("a chunk does not match its size"));
+            }
+            body.extend_from_slice(&self.buf[..len]);
+            self.buf.drain(..len + 2);
+        }
+    }
+
+    async fn read_chunk_len(&mut self) -> Result<usize, HttpError> {
+        loop {
+            let parsed = httparse::parse_chunk_size(&self.buf);
+            match parsed.map_err(|_| HttpError::Malformed("a chunk size is invalid"))? {
+                httparse::Status::Complete((consumed, len)) => {
+                    self.buf.drain(..consumed);
+                    return Ok(usize::try_from(len).unwrap_or(usize::MAX / 2));
+                }
+                httparse::Status::Partial if self.buf.len() > MAX_CHUNK_LINE_BYTES => {
+                    return Err(HttpError::Malformed("a chunk size line is too long"));
+                }
+                httparse::Status::Partial => self.fill_more().await?,
+            }
+        }
+    }
+
+    /// Reads and discards the trailer fields after the last chunk.
+    async fn skip_trailer(&mut self) -> Result<(), HttpError> {
+        loop {
+            if let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") {
+                self.buf.drain(..at + 2);
+                if at == 0 {
+                    return Ok(());
+                }
+                continue;
+            }
+            if self.buf.len() > MAX_TRAILER_BYTES {
+                return Err(HttpError::Malformed("the trailer is too long"));
+            }
+            self.fill_more().await?;
+        }
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -18,6 +18,7 @@
 mod heartbeat;
 mod heartbeat_wire;
 mod http1;
+mod http1_chunks;
 mod http1_head;
 #[cfg(test)]
 mod http1_samples;
