Let values of the store arrive over a slow link

The timeout of a call now bounds the time until the head of the response (plus the wait of a watch). The body may take longer as long as bytes arrive: half a second of silence ends it, and ten seconds in all.

The new test reads a value of the maximum size by get, list and watch over a link of 800 and 600 kB/s. Before: fails at the first get. After: passes; silent and cut connections are still found as before (same file).

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -5,6 +5,7 @@
 //! decides whether a reply may be used; see `docs/DESIGN.md`, "On the platform".
 
 use std::io;
+use std::time::Duration;
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncReadExt, AsyncWriteExt};
@@ -45,6 +46,7 @@
 pub(crate) struct Http1Conn {
     stream: TcpStream,
     pub(super) buf: Vec<u8>,
+    read_timeout: Option<Duration>,
 }
 
 impl Http1Conn {
@@ -52,9 +54,16 @@
         Self {
             stream,
             buf: Vec::new(),
+            read_timeout: None,
         }
     }
 
+    /// Sets how long a read may wait for the next bytes of a message. Unlike a timeout for a
+    /// whole message, this lets a long one arrive over a slow link.
+    pub(crate) fn set_read_timeout(&mut self, read_timeout: Option<Duration>) {
+        self.read_timeout = read_timeout;
+    }
+
     /// The underlying stream, to watch for its end.
     pub(crate) fn stream(&self) -> &TcpStream {
         &self.stream
@@ -129,12 +138,20 @@
         text: &[u8],
         max_bytes: usize,
     ) -> Result<(ResponseHead, Vec<u8>), HttpError> {
-        self.write(text).await?;
-        let head = self.response(MAX_RESPONSE_HEAD_BYTES).await?;
+        let head = self.send(text).await?;
         let body = self.body(head.framing()?, max_bytes).await?;
         Ok((head, body))
     }
 
+    /// Sends a request and reads the head of the response.
+    ///
+    /// # Errors
+    /// Any [`HttpError`] except `BodyTooLarge`.
+    pub(crate) async fn send(&mut self, text: &[u8]) -> Result<ResponseHead, HttpError> {
+        self.write(text).await?;
+        self.response(MAX_RESPONSE_HEAD_BYTES).await
+    }
+
     async fn head<T>(
         &mut self,
         max_bytes: usize,
@@ -209,7 +226,11 @@
 
     async fn fill(&mut self) -> Result<usize, HttpError> {
         let mut chunk = vec![0; READ_BYTES];
-        let count = self.stream.read(&mut chunk).await?;
+        let reading = self.stream.read(&mut chunk);
+        let count = match self.read_timeout {
+            Some(limit) => async_std::io::timeout(limit, reading).await?,
+            None => reading.await?,
+        };
         self.buf.extend_from_slice(&chunk[..count]);
         Ok(count)
     }
--- a/src/platform/store_connections.rs
+++ b/src/platform/store_connections.rs
@@ -10,15 +10,21 @@
 use async_std::future::timeout;
 
 use super::tcp;
-use crate::connection::Http1Conn;
+use crate::connection::{Http1Conn, HttpError, ResponseHead};
 use crate::process::{CallBucket, CallRates, PlatformError, Rank, Ranked};
 
-/// The store responds in milliseconds, or in a few hundred when it is slow.
+/// The time until the head of a response: the store responds in milliseconds, or in a few hundred
+/// when it is slow.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// A reused connection without a reply for this long is taken for dead; on a live one, the store
 /// responds sooner.
 const REUSED_CONNECTION_TIMEOUT: Duration = Duration::from_millis(500);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// A body that has begun to arrive pauses for a few round trips at most, unless the connection is
+/// dead.
+const BODY_READ_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bounds how long a store that sends a body in tiny pieces can hold up a reader.
+const MAX_BODY_TIME: Duration = Duration::from_secs(10);
 /// Maximum idle time of a connection used for a read. Firewalls and servers commonly drop a
 /// connection after a minute of idling.
 const MAX_IDLE_FOR_READS: Duration = Duration::from_secs(30);
@@ -138,12 +144,12 @@
         request: &str,
         time_limit: Duration,
     ) -> Result<Reply, ExchangeError> {
-        let exchanged = timeout(
-            time_limit,
-            conn.exchange(request.as_bytes(), MAX_BODY_BYTES),
-        )
-        .await;
-        let (head, body) = exchanged
+        let head = timeout(time_limit, conn.send(request.as_bytes()))
+            .await
+            .map_err(|_| ExchangeError::TimedOut)?
+            .map_err(|error| ExchangeError::Broken(error.to_string()))?;
+        let body = timeout(MAX_BODY_TIME, read_body(&mut conn, &head))
+            .await
             .map_err(|_| ExchangeError::TimedOut)?
             .map_err(|error| ExchangeError::Broken(error.to_string()))?;
         if !head.closes() && !conn.has_buffered_bytes() {
@@ -167,6 +173,15 @@
     }
 }
 
+/// Reads a body as long as it makes progress. A value of the maximum size takes longer to arrive
+/// over a slow link than the store takes to respond.
+async fn read_body(conn: &mut Http1Conn, head: &ResponseHead) -> Result<Vec<u8>, HttpError> {
+    conn.set_read_timeout(Some(BODY_READ_TIMEOUT));
+    let body = conn.body(head.framing()?, MAX_BODY_BYTES).await;
+    conn.set_read_timeout(None);
+    body
+}
+
 /// Why an exchange failed; in either case the call may have taken effect.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -8,10 +8,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task::{block_on, sleep, spawn};
 use futures::future::{BoxFuture, join};
-use futures::io::{AsyncReadExt, AsyncWriteExt};
 use indexmap::IndexMap;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -28,12 +27,16 @@
 use crate::types::{ByteCount, ConfigVersion, ConnectionCount, Incarnation, Ratio, Span};
 use crate::version::{CallerLimits, RouteTable};
 
+#[path = "../../../tests/standin/slow_link.rs"]
+mod slow_link;
+
+use slow_link::slow_link;
+
 /// The time within which a configuration has to be in force on the users' grown deployments.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
 /// The platform's limit on a value, less the other fields of a configuration.
 const LARGE: ByteCount = ByteCount((1 << 20) - 1_024);
 const SMALL: ByteCount = ByteCount(10);
-const CHUNK_BYTES: usize = 4 << 10;
 
 /// A configuration that is written some time after the one before.
 #[derive(Clone, Copy, Debug)]
@@ -186,37 +189,6 @@
     Node::start(settings, clock, engine, store, Box::new(VersionDecoder))
 }
 
-/// Relays connections to `target`, with the bytes of its replies at a limited rate.
-async fn slow_link(target: SocketAddr, bytes_per_sec: u32) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let addr = listener.local_addr().unwrap();
-    spawn(async move {
-        while let Ok((client, _)) = listener.accept().await {
-            let Ok(server) = TcpStream::connect(target).await else {
-                return;
-            };
-            spawn(relay(client.clone(), server.clone(), None));
-            spawn(relay(server, client, Some(bytes_per_sec)));
-        }
-    });
-    addr
-}
-
-async fn relay(mut from: TcpStream, mut to: TcpStream, bytes_per_sec: Option<u32>) {
-    let mut chunk = vec![0; CHUNK_BYTES];
-    while let Ok(count @ 1..) = from.read(&mut chunk).await {
-        if let Some(rate) = bytes_per_sec {
-            let bytes = u32::try_from(count).unwrap();
-            sleep(Duration::from_secs_f64(f64::from(bytes) / f64::from(rate))).await;
-        }
-        if to.write_all(&chunk[..count]).await.is_err() {
-            break;
-        }
-    }
-    // Shutting down fails if the connection is already closed.
-    to.shutdown(async_std::net::Shutdown::Both).ok();
-}
-
 /// Decodes only the version of a configuration.
 #[derive(Debug)]
 struct VersionDecoder;
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -13,6 +13,7 @@
 use standin::contract::UNLIMITED_RATES;
 use standin::listen;
 use standin::platform::Platform as PlatformServer;
+use standin::slow_link::slow_link;
 
 fn key() -> ObjectKey {
     ObjectKey::new("k/a")
@@ -55,6 +56,51 @@
     assert_eq!(server.connections(), 20);
 }
 
+struct SlowRead {
+    name: &'static str,
+    /// Whether an earlier call left an open connection.
+    reuses_connection: bool,
+    bytes_per_sec: u32,
+}
+
+/// Guards against reads that end after the timeout of a call while the value still arrives, and
+/// that are started again from nothing each time.
+#[async_std::test]
+async fn a_value_of_the_maximum_size_is_read_over_a_slow_link() {
+    let cases = [
+        SlowRead {
+            name: "a new connection",
+            reuses_connection: false,
+            bytes_per_sec: 800_000,
+        },
+        SlowRead {
+            name: "a kept connection",
+            reuses_connection: true,
+            bytes_per_sec: 600_000,
+        },
+    ];
+    let value = json!("x".repeat((1 << 20) - 2));
+    for case in cases {
+        let server = PlatformServer::start().await;
+        let link = slow_link(server.addr, case.bytes_per_sec).await;
+        let client = ObjectStore::new(link, UNLIMITED_RATES);
+        let direct = ObjectStore::new(server.addr, UNLIMITED_RATES);
+        let earlier = if case.reuses_connection {
+            &client
+        } else {
+            &direct
+        };
+        let from = earlier.list("k").await.unwrap().revision;
+        server.set("k/a", value.clone());
+        let read = client.get(&key()).await.unwrap_or_default();
+        assert!(read.is_some(), "get over {}", case.name);
+        let listed = client.list("k").await;
+        assert!(listed.is_ok(), "list over {}: {listed:?}", case.name);
+        let watched = client.watch("k", from, Span::from_millis(1)).await;
+        assert!(watched.is_ok(), "watch over {}: {watched:?}", case.name);
+    }
+}
+
 struct Fault {
     name: &'static str,
     inject: fn(&PlatformServer),
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod platform;
 mod platform_state;
 mod platform_wire;
+pub(crate) mod slow_link;
 pub(crate) mod upstream;
 
 use std::net::SocketAddr;
