Let replies of instances arrive as long as they make progress

The timeout of a request to another instance now bounds the time without a byte of the reply. A reply may take ten seconds in all. A silent instance is found as before.

The new test fetches an object of a megabyte at 400 kB/s with a timeout of a second.

--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -51,7 +51,12 @@
 #[cfg(test)]
 mod operator_tests;
 #[cfg(test)]
+mod peer_slow_link_tests;
+#[cfg(test)]
 mod peer_tests;
+#[cfg(test)]
+#[path = "../../tests/standin/slow_link.rs"]
+pub(crate) mod slow_link;
 
 pub(crate) use auth::sign as sign_token;
 pub(crate) use disconnect_watch::DisconnectWatch;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -3,7 +3,9 @@
 //! permanently.
 
 use std::net::SocketAddr;
+use std::pin::{Pin, pin};
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
@@ -27,6 +29,8 @@
 pub(super) const PROOF_PATH: &str = "/peer/proof";
 pub(super) const REQUEST_PATH: &str = "/peer/ask";
 const MAX_CONNECTIONS: usize = 16;
+/// Bounds how long an instance that replies in tiny pieces can hold up a request.
+const MAX_REPLY_TIME: Span = Span::from_secs(10);
 
 /// Why a request to a peer failed.
 #[derive(Debug)]
@@ -70,8 +74,8 @@
         }
     }
 
-    /// Sends a request to the instance at `addr` and waits up to `within` for its reply. On any
-    /// failure the connection is dropped.
+    /// Sends a request to the instance at `addr` and waits for its reply, up to `within` for its
+    /// first bytes and for the next ones each time. On any failure the connection is dropped.
     pub(crate) async fn request(
         &self,
         addr: SocketAddr,
@@ -79,10 +83,8 @@
         within: Span,
     ) -> Result<PeerResponse, PeerError> {
         let received = AtomicUsize::new(0);
-        let trying = self.try_request(addr, request, &received);
-        let response = timeout(within.as_duration(), trying)
-            .await
-            .unwrap_or_else(|_| Err(PeerError::Timeout(received.load(Ordering::Relaxed))));
+        let trying = pin!(self.try_request(addr, request, &received));
+        let response = while_progressing(trying, &received, within).await;
         if response.is_err() {
             self.connections.lock().swap_remove(&addr);
         }
@@ -157,6 +159,26 @@
     }
 }
 
+/// Waits for a reply as long as bytes of it arrive: a large one takes long over a slow link.
+async fn while_progressing<T>(
+    mut trying: Pin<&mut impl Future<Output = Result<T, PeerError>>>,
+    received: &AtomicUsize,
+    within: Span,
+) -> Result<T, PeerError> {
+    let began = Instant::now();
+    let mut before = 0;
+    loop {
+        if let Ok(result) = timeout(within.as_duration(), trying.as_mut()).await {
+            return result;
+        }
+        let now = received.load(Ordering::Relaxed);
+        if now == before || began.elapsed() > MAX_REPLY_TIME.as_duration() {
+            return Err(PeerError::Timeout(now));
+        }
+        before = now;
+    }
+}
+
 /// Sends a message and reads the whole reply; `received` counts its bytes as they arrive.
 async fn call(
     sender: &SendRequest<Bytes>,
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -19,6 +19,7 @@
 
 use super::{DecodedObject, InstanceRecord, Node, NodeSettings, ObjectDecoder};
 use crate::connection::accept_peers;
+use crate::connection::slow_link::slow_link;
 use crate::process::cells::{Member, MemberState};
 use crate::process::platform::fake::FakePlatform;
 use crate::process::shutdown::StopTimes;
@@ -27,11 +28,6 @@
 use crate::types::{ByteCount, ConfigVersion, ConnectionCount, Incarnation, Ratio, Span};
 use crate::version::{CallerLimits, RouteTable};
 
-#[path = "../../../tests/standin/slow_link.rs"]
-mod slow_link;
-
-use slow_link::slow_link;
-
 /// The time within which a configuration has to be in force on the users' grown deployments.
 const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
 /// The platform's limit on a value, less the other fields of a configuration.
