Decode the rate limit that replicas state, and log it

The adapter decodes what a replica says of itself once, from the head of any response that is its own, into UpstreamSignals. A stated limit is logged (bounded with the other lines about single requests) and counted by hyssopwalk_upstream_signals; a value that cannot be used is counted there and otherwise ignored. No decision reads it yet.

--- a/src/connection/links.rs
+++ b/src/connection/links.rs
@@ -11,7 +11,7 @@
 use super::conn::{CallError, Conn};
 use super::heartbeat::Health;
 use super::pool::Pool;
-use crate::process::{Clock, LegTransport, Rank, Ranked};
+use crate::process::{Clock, LegResult, LegTransport, Rank, Ranked};
 use crate::request::{LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, UpstreamName};
 
@@ -61,11 +61,7 @@
 }
 
 impl LegTransport for Links {
-    fn call(
-        &self,
-        leg: LegRequest,
-        max_connections: ConnectionCount,
-    ) -> BoxFuture<'_, Result<LegReply, LegFailure>> {
+    fn call(&self, leg: LegRequest, max_connections: ConnectionCount) -> BoxFuture<'_, LegResult> {
         Box::pin(async move {
             let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
             let time_left = leg.time_left.as_duration();
@@ -75,7 +71,9 @@
                 call(&pool, &leg, max_connections, &mut used_conn),
             )
             .await;
-            called.unwrap_or_else(|_| Err(timeout_failure(used_conn.as_deref())))
+            called
+                .unwrap_or_else(|_| Err(timeout_failure(used_conn.as_deref())))
+                .into()
         })
     }
 
--- a/src/connection/links_tests.rs
+++ b/src/connection/links_tests.rs
@@ -46,6 +46,7 @@
     links
         .call(leg(upstream, Span::from_secs(5)), MAX_CONNECTIONS)
         .await
+        .outcome
 }
 
 fn in_mode(mode: Mode) -> Behaviour {
@@ -90,7 +91,7 @@
     call(&links, &upstream).await.unwrap();
     let mut second = leg(&upstream, Span::from_secs(5));
     second.leg = LegId(4);
-    let reply = links.call(second, MAX_CONNECTIONS).await.unwrap();
+    let reply = links.call(second, MAX_CONNECTIONS).await.outcome.unwrap();
     assert_eq!(
         reply.leg,
         LegId(3),
@@ -143,7 +144,7 @@
         call(&links, &upstream)
     );
     assert_eq!(
-        short,
+        short.outcome,
         Err(LegFailure::Unreachable),
         "the leg was never sent"
     );
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -62,9 +62,7 @@
 pub(crate) use disconnect_watch::DisconnectWatch;
 pub(crate) use front::accept;
 pub(crate) use http1::{Http1Conn, HttpError};
-#[cfg(test)]
-pub(crate) use http1_head::Fields;
-pub(crate) use http1_head::{RequestHead, ResponseHead, is_hop_by_hop};
+pub(crate) use http1_head::{Fields, RequestHead, ResponseHead, is_hop_by_hop};
 #[cfg(test)]
 pub(crate) use http1_samples::sent;
 pub(crate) use links::Links;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -14,6 +14,7 @@
 mod replicas;
 mod reply;
 mod settings;
+mod signals;
 mod store;
 mod store_connections;
 mod store_wire;
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -10,9 +10,9 @@
 use rustix::net::{RecvFlags, recv};
 
 use super::payload::Payload;
-use super::{reply, tcp};
+use super::{reply, signals, tcp};
 use crate::connection::{Http1Conn, HttpError, ResponseHead};
-use crate::process::{Clock, LegTransport, Rank, Ranked};
+use crate::process::{Clock, LegResult, LegTransport, Rank, Ranked, UpstreamSignals};
 use crate::request::{LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, Span, Timestamp, UpstreamName};
 
@@ -90,6 +90,7 @@
         &self,
         leg: &LegRequest,
         max_connections: ConnectionCount,
+        signals: &mut Option<UpstreamSignals>,
     ) -> Result<LegReply, LegFailure> {
         let payload = Payload::decode(&leg.body).map_err(|error| {
             tracing::error!(%error, "could not decode the payload of a leg");
@@ -113,6 +114,9 @@
         let (head, body) = exchanged
             .map_err(|_| LegFailure::OutOfTime)?
             .map_err(|error| leg_failure(&error))?;
+        if reply::is_from_upstream(&head, payload.id) {
+            *signals = Some(signals::decode(&head.fields));
+        }
         let reply_head = reply::validate(&head, payload.id);
         if !head.closes() && !conn.has_buffered_bytes() && reply_head != Err(LegFailure::Mangled) {
             permit.return_connection(conn, self.clock.now() + keep_alive_time(&head));
@@ -129,12 +133,12 @@
 }
 
 impl LegTransport for ReplicaTransport {
-    fn call(
-        &self,
-        leg: LegRequest,
-        max_connections: ConnectionCount,
-    ) -> BoxFuture<'_, Result<LegReply, LegFailure>> {
-        Box::pin(async move { self.try_call(&leg, max_connections).await })
+    fn call(&self, leg: LegRequest, max_connections: ConnectionCount) -> BoxFuture<'_, LegResult> {
+        Box::pin(async move {
+            let mut signals = None;
+            let outcome = self.try_call(&leg, max_connections, &mut signals).await;
+            LegResult { signals, outcome }
+        })
     }
 
     /// Cancelling a leg closes its connection. A new connection costs the replica time and adds to
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -15,6 +15,17 @@
 
 const MISDIRECTED: u16 = 421;
 
+/// Whether the response comes from the replica that the request was sent to, so that what it says
+/// of itself holds. An address may have been assigned to another replica, and a late response
+/// may belong to an earlier request.
+pub(super) fn is_from_upstream(head: &ResponseHead, id: &str) -> bool {
+    let is_echoed = head
+        .fields
+        .get(REQUEST_ID)
+        .is_none_or(|echoed| echoed == id);
+    is_echoed && head.status != MISDIRECTED
+}
+
 /// Validates the head of a complete response to the request with that id.
 ///
 /// # Errors
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -5,8 +5,8 @@
 
 use futures::future::{AbortHandle, Abortable};
 
-use super::Engine;
 use super::tables::{EntryState, LegTask};
+use super::{Engine, LegResult, UpstreamSignals};
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
 use crate::types::{LegId, QueryId, Span, UpstreamName};
 use crate::version::Directory;
@@ -155,7 +155,13 @@
         .limits
         .lock()
         .connections(sent_at, &leg.upstream);
-    let result = engine.transport.call(leg, max_connections).await;
+    let LegResult {
+        signals,
+        outcome: result,
+    } = engine.transport.call(leg, max_connections).await;
+    if let Some(signals) = signals {
+        note_signals(&engine, &upstream.name, signals);
+    }
     if result.is_ok() {
         let now = engine.clock.now();
         engine
@@ -178,3 +184,13 @@
         tracing::debug!(%query, "a leg ended after the workers stopped");
     }
 }
+
+/// Records what an upstream said of itself.
+fn note_signals(engine: &Engine, upstream: &UpstreamName, signals: UpstreamSignals) {
+    engine.metrics.signalled(signals);
+    if let Some(rate_limit) = signals.rate_limit
+        && let Some(suppressed) = engine.may_log()
+    {
+        tracing::info!(%upstream, %rate_limit, left_out = suppressed, "an upstream states a rate limit");
+    }
+}
--- a/src/process/engine.rs
+++ b/src/process/engine.rs
@@ -13,9 +13,9 @@
 use super::dispatch::dispatch;
 use super::tables::{EntryState, Tables};
 use super::timer::Timer;
-use super::{Clock, Job, LogRate, Metrics, Rank, Ranked, pool};
+use super::{Clock, Job, LegResult, LogRate, Metrics, Rank, Ranked, pool};
 use crate::error::{ErrorKind, Refusal};
-use crate::request::{Answer, LegFailure, LegReply, LegRequest, Query};
+use crate::request::{Answer, LegRequest, Query};
 use crate::types::{ConnectionCount, QueryId};
 
 const JOB_QUEUE_CAPACITY: usize = 65_536;
@@ -24,11 +24,7 @@
 pub(crate) trait LegTransport: Debug + Send + Sync {
     /// Sends a leg over one of at most `max_connections` connections to its upstream and
     /// waits for the reply. Dropping the future cancels the leg at the upstream.
-    fn call(
-        &self,
-        leg: LegRequest,
-        max_connections: ConnectionCount,
-    ) -> BoxFuture<'_, Result<LegReply, LegFailure>>;
+    fn call(&self, leg: LegRequest, max_connections: ConnectionCount) -> BoxFuture<'_, LegResult>;
 
     /// Whether cancelling a leg closes its connection. If so, a leg whose reply is no
     /// longer needed is better left to finish, unless its caller has disconnected.
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -23,8 +23,10 @@
 use crate::process::cells::{Member, MemberState};
 use crate::process::platform::fake::FakePlatform;
 use crate::process::shutdown::StopTimes;
-use crate::process::{Clock, Engine, LegTransport, ObjectKey, PlatformError, RetryLimits, Workers};
-use crate::request::{LegFailure, LegReply, LegRequest};
+use crate::process::{
+    Clock, Engine, LegResult, LegTransport, ObjectKey, PlatformError, RetryLimits, Workers,
+};
+use crate::request::{LegFailure, LegRequest};
 use crate::types::{ByteCount, ConfigVersion, ConnectionCount, Incarnation, Ratio, Span};
 use crate::version::{CallerLimits, RouteTable};
 
@@ -212,8 +214,8 @@
         &self,
         _leg: LegRequest,
         _max_connections: ConnectionCount,
-    ) -> BoxFuture<'_, Result<LegReply, LegFailure>> {
-        Box::pin(async { Err(LegFailure::Unreachable) })
+    ) -> BoxFuture<'_, LegResult> {
+        Box::pin(async { Err(LegFailure::Unreachable).into() })
     }
 
     fn cancel_costs_connection(&self) -> bool {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::process_collector::ProcessCollector;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use super::UpstreamSignals;
 use super::member_metrics::MemberMetrics;
 use crate::error::ErrorKind;
 use crate::request::LegFailure;
@@ -21,6 +22,7 @@
     latency: Histogram<f64>,
     legs: Counter<u64>,
     leg_failures: Counter<u64>,
+    signals: Counter<u64>,
     pub(crate) undelivered_answers: Counter<u64>,
     pub(crate) members: MemberMetrics,
 }
@@ -42,6 +44,7 @@
             latency: meter.f64_histogram("hyssopwalk_answer_seconds").build(),
             legs: meter.u64_counter("hyssopwalk_legs").build(),
             leg_failures: meter.u64_counter("hyssopwalk_leg_failures").build(),
+            signals: meter.u64_counter("hyssopwalk_upstream_signals").build(),
             undelivered_answers: meter.u64_counter("hyssopwalk_unheard_answers").build(),
             members: MemberMetrics::new(&meter),
         })
@@ -71,6 +74,17 @@
             .add(1, &[upstream, KeyValue::new("failure", failure.code())]);
     }
 
+    /// Counts what an upstream said of itself in a reply.
+    pub(crate) fn signalled(&self, signals: UpstreamSignals) {
+        let count = |signal, number| {
+            if number > 0 {
+                self.signals.add(number, &[KeyValue::new("signal", signal)]);
+            }
+        };
+        count("rate-limit", u64::from(signals.rate_limit.is_some()));
+        count("invalid", u64::from(signals.invalid));
+    }
+
     /// Renders all metrics in the Prometheus text format.
     pub(crate) fn render(&self) -> anyhow::Result<String> {
         let mut buf = Vec::new();
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -51,6 +51,7 @@
 mod table;
 mod tables;
 mod timer;
+mod upstream_signals;
 mod upstream_stats;
 mod upstreams;
 mod window;
@@ -120,4 +121,5 @@
 pub(crate) use platform::{Backoff, CallBucket};
 pub(crate) use shutdown::{AbortedRequests, Shutdown, Step, StopTimes};
 pub(crate) use table::Table;
+pub(crate) use upstream_signals::{LegResult, UpstreamSignals};
 pub(crate) use upstreams::UpstreamLoad;
