Show that instances exceed the rate that an upstream states

The test runs the real binary against replicas, one of which states 12 requests a second, over the ways a leg can be sent: first legs of a shard and of a service, hedges, moves and retries. The rule allows 77 in 4 s.

The soak's replicas have the new behaviour and record when requests arrive.

--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -1,7 +1,7 @@
 //! A simulated replica that runs requests, records each run and has injectable faults.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::io::WriteExt;
 use async_std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -15,6 +15,9 @@
 /// Number of 16-byte records in an answer.
 const RECORDS_PER_ANSWER: u32 = 6;
 
+/// The requests a second that a replica in need takes.
+pub(crate) const RATE_LIMIT: u32 = 12;
+
 /// How a replica handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum ReplicaMode {
@@ -32,6 +35,8 @@
     Truncates,
     /// Runs requests and answers with status 500.
     Fails,
+    /// States in every answer that it takes [`RATE_LIMIT`] requests a second from all instances.
+    StatesRateLimit,
 }
 
 /// One run of a request by a replica.
@@ -42,6 +47,8 @@
     pub(crate) target: String,
 }
 
+type Arrivals = Arc<Mutex<Vec<Instant>>>;
+
 /// The runs of all replicas.
 pub(crate) type Runs = Arc<Mutex<Vec<Run>>>;
 
@@ -53,6 +60,9 @@
     pub(crate) addr: SocketAddr,
     pub(crate) incarnation: u64,
     mode: Arc<Mutex<ReplicaMode>>,
+    /// When each request arrived, whether it ran or not.
+    #[allow(dead_code, reason = "only tests/upstream_signals.rs reads it")]
+    pub(crate) arrivals: Arrivals,
     conns: Arc<Mutex<Vec<TcpStream>>>,
     accept_task: Option<JoinHandle<()>>,
 }
@@ -62,6 +72,7 @@
     id: String,
     service: String,
     mode: Arc<Mutex<ReplicaMode>>,
+    arrivals: Arrivals,
     runs: Runs,
 }
 
@@ -71,10 +82,12 @@
         let addr = listener.local_addr().expect("a bound address");
         let mode = Arc::new(Mutex::new(ReplicaMode::default()));
         let conns = Arc::new(Mutex::new(Vec::new()));
+        let arrivals = Arrivals::default();
         let server = ReplicaServer {
             id: id.to_owned(),
             service: service.to_owned(),
             mode: Arc::clone(&mode),
+            arrivals: Arc::clone(&arrivals),
             runs: Arc::clone(runs),
         };
         let open = Arc::clone(&conns);
@@ -90,6 +103,7 @@
             addr,
             incarnation,
             mode,
+            arrivals,
             conns,
             accept_task: Some(accept_task),
         }
@@ -124,6 +138,7 @@
     async fn serve(self, mut stream: TcpStream) {
         let mut buf = Vec::new();
         while let Ok(Some(req)) = http::read(&mut stream, &mut buf).await {
+            self.arrivals.lock().push(Instant::now());
             let mode = *self.mode.lock();
             let answer = self.answer(&req, mode);
             sleep(Duration::from_millis(match mode {
@@ -163,7 +178,11 @@
         });
         let stamp = format!("{}.{request}", self.service);
         let status = if mode == ReplicaMode::Fails { 500 } else { 200 };
-        let fields = [("Request-Id", request.as_str()), ("Answer-Stamp", &stamp)];
+        let limit = RATE_LIMIT.to_string();
+        let mut fields = vec![("Request-Id", request.as_str()), ("Answer-Stamp", &stamp)];
+        if mode == ReplicaMode::StatesRateLimit {
+            fields.push(("Server-Limit", &limit));
+        }
         http::response(status, &fields, &records(&self.service, &request))
     }
 }
--- /dev/null
+++ b/tests/upstream_signals.rs
@@ -0,0 +1,91 @@
+//! Instances do what an upstream says of itself, whichever way a leg would be sent.
+//!
+//! Runs the real binary against replicas that state a limit; see
+//! `docs/incidents/rate-limit-exceeded.md`.
+
+#![allow(dead_code, reason = "the soak uses the rest of its modules")]
+
+#[path = "soak/caller.rs"]
+mod caller;
+#[path = "soak/deployment.rs"]
+mod deployment;
+#[path = "soak/http.rs"]
+mod http;
+#[path = "soak/proxy.rs"]
+mod proxy;
+#[path = "soak/replica.rs"]
+mod replica;
+mod standin;
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use async_std::task::{block_on, sleep, spawn};
+use caller::Observations;
+use deployment::{Deployment, INSTANCES};
+use replica::{RATE_LIMIT, ReplicaMode};
+use rstest::rstest;
+
+const CALLERS: usize = 4;
+/// The time that instances have to start and to hear the signal.
+const SETTLE: Duration = Duration::from_secs(2);
+/// The span of the rule, and what it allows beyond the limit.
+const WINDOW: Duration = Duration::from_secs(4);
+const WINDOW_SECS: u32 = 4;
+const ALLOWED: usize = (RATE_LIMIT * WINDOW_SECS) as usize * 3 / 2 + 5;
+
+/// The two replicas of a shard that the first configuration gathers.
+const GATHERED: [usize; 2] = [8, 9];
+/// The two replicas of the service of the other routes.
+const SINGLE: [usize; 2] = [18, 19];
+
+struct Case {
+    replicas: [usize; 2],
+    /// How the other replica behaves, which decides by which way legs go to the first.
+    other: ReplicaMode,
+}
+
+/// Guards against legs that are sent to an upstream beyond the rate that it takes from all
+/// instances together.
+#[rstest]
+#[case::first_legs_of_a_shard(Case { replicas: GATHERED, other: ReplicaMode::Normal })]
+#[case::first_legs_of_a_service(Case { replicas: SINGLE, other: ReplicaMode::Normal })]
+#[case::hedges_of_slow_legs(Case { replicas: GATHERED, other: ReplicaMode::Slow })]
+#[case::moves_of_shed_legs(Case { replicas: GATHERED, other: ReplicaMode::Sheds })]
+#[case::retries_of_failed_legs(Case { replicas: SINGLE, other: ReplicaMode::Fails })]
+fn an_upstream_gets_no_more_than_the_rate_that_it_states(#[case] case: Case) {
+    let name = format!("limit-{:?}-{:?}", case.replicas[0], case.other);
+    block_on(async {
+        let deployment = Deployment::start(&name).await;
+        let [limited, other] = case.replicas.map(|at| &deployment.replicas[at].replica);
+        limited.set_mode(ReplicaMode::StatesRateLimit);
+        other.set_mode(case.other);
+        let observations = Arc::new(Observations::default());
+        let fronts: Vec<_> = deployment.instances.iter().map(|one| one.front).collect();
+        let callers: Vec<_> = (0..CALLERS * INSTANCES)
+            .map(|at| {
+                let name = format!("{name}c{at}");
+                spawn(caller::run(name, fronts.clone(), Arc::clone(&observations)))
+            })
+            .collect();
+        sleep(SETTLE).await;
+        let from = Instant::now();
+        sleep(WINDOW).await;
+        observations.stop.store(true, Ordering::Relaxed);
+        for caller in callers {
+            caller.await;
+        }
+        let arrivals = limited.arrivals.lock();
+        let counted = arrivals
+            .iter()
+            .filter(|at| **at >= from && **at < from + WINDOW);
+        let count = counted.count();
+        assert!(
+            count <= ALLOWED,
+            "{count} requests in {WINDOW:?}, {ALLOWED} allowed"
+        );
+        assert!(count > 0, "the limited upstream is not lost");
+        assert_eq!(*observations.violations.lock(), Vec::<String>::new());
+    });
+}
