Let the settings name the key by which instances recognise each other

Found while tracing the LIMIT test: the soak's three instances never knew of each other, because the key is derived from the address of the store, and each has a proxy of its own there. So the soak has not covered how instances follow one another and divide limits.

The rendered settings may now hold peer_key, which also lets operators use a secret; without it the key is derived as before. The soak names one.

--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -38,6 +38,10 @@
     limits: LimitsWire,
     bounds: BoundsWire,
     pub(super) platform: StoreAddressWire,
+    /// The key by which instances recognise each other; by default one derived from the address
+    /// of the store.
+    #[serde(default)]
+    peer_key: Option<String>,
 }
 
 /// The addresses on which the process accepts connections.
@@ -149,11 +153,12 @@
     }
 }
 
-/// Derives the peer key from the store's address. The settings contain no secret, so the key keeps
-/// instances of different deployments apart but does not keep out anyone else; see
-/// `docs/DESIGN.md`, "On the platform".
+/// Returns the peer key of the settings, or derives one from the store's address. The platform's
+/// settings contain no secret, so a derived key keeps instances of different deployments apart but
+/// does not keep out anyone else; see `docs/DESIGN.md`, "On the platform".
 fn peer_key(wire: &SettingsWire) -> Result<PeerKey> {
-    let key = format!("deployment-of-{}", wire.platform.address);
+    let derived = || format!("deployment-of-{}", wire.platform.address);
+    let key = wire.peer_key.clone().unwrap_or_else(derived);
     Ok(key.parse()?)
 }
 
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -239,6 +239,9 @@
             "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_slack": 54,
         },
         "platform": {"address": store},
+        // Each instance has a proxy to the store of its own, so a key derived from the store's
+        // address would differ between them.
+        "peer_key": "the instances of this soak",
     })
 }
 
