Keep to the rate that an upstream states, shared by all instances

Cause: nothing read the limit. The class of fault: an upstream's own word on what it takes is not an input of the choice of replica.

Ruled out: that each instance took the whole limit (the upstream got its usual 45 a second, not six times 22), and that only some kinds of legs ignored it (the test fails for first legs, hedges, moves and retries alike).

Limits keeps a token bucket for each upstream that states a limit, of this instance's part of it. Every leg passes it, because every leg is chosen by Upstreams::choose. A query that would miss its coverage because all replicas of too many shards are limited is refused at once, not run, with the time at which enough of them have room; such queries would use up what serves others.

Table tests of the bucket and of the refusals, which name the load pattern.

--- a/src/error.rs
+++ b/src/error.rs
@@ -5,6 +5,8 @@
 
 use std::fmt;
 
+use crate::types::Span;
+
 /// Whether a refused request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Ran {
@@ -136,6 +138,8 @@
     pub kind: ErrorKind,
     /// A human-readable sentence.
     pub detail: String,
+    /// When the same request may succeed, if that is known.
+    pub retry_after: Option<Span>,
 }
 
 impl Refusal {
@@ -145,8 +149,16 @@
         Self {
             kind,
             detail: detail.into(),
+            retry_after: None,
         }
     }
+
+    /// Adds the time after which the same request may succeed.
+    #[must_use]
+    pub fn with_retry_after(mut self, retry_after: Span) -> Self {
+        self.retry_after = Some(retry_after);
+        self
+    }
 }
 
 #[cfg(test)]
--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -124,7 +124,8 @@
         (_, status) => status,
     };
     let mut response = Response::new(status, id);
-    if let Some(after) = retry_after(refusal.kind).filter(|_| row.ran == Ran::NotRun) {
+    let retry_after = refusal.retry_after.or_else(|| retry_after(refusal.kind));
+    if let Some(after) = retry_after.filter(|_| row.ran == Ran::NotRun) {
         response.add_field(
             RETRY_AFTER_HEADER,
             &after.as_duration().as_secs_f64().to_string(),
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -8,7 +8,7 @@
 use super::tables::{EntryState, LegTask};
 use super::{Engine, LegResult, UpstreamSignals};
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
-use crate::types::{LegId, QueryId, Span, UpstreamName};
+use crate::types::{LegId, QueryId, Span, Timestamp, UpstreamName};
 use crate::version::Directory;
 
 /// How long a leg that is no longer needed may continue, so that its connection can be
@@ -160,7 +160,7 @@
         outcome: result,
     } = engine.transport.call(leg, max_connections).await;
     if let Some(signals) = signals {
-        note_signals(&engine, &upstream.name, signals);
+        note_signals(&engine, &upstream.name, sent_at, signals);
     }
     if result.is_ok() {
         let now = engine.clock.now();
@@ -185,12 +185,29 @@
     }
 }
 
-/// Records what an upstream said of itself.
-fn note_signals(engine: &Engine, upstream: &UpstreamName, signals: UpstreamSignals) {
+/// Records what an upstream said of itself in its reply to a leg.
+fn note_signals(
+    engine: &Engine,
+    upstream: &UpstreamName,
+    sent_at: Timestamp,
+    signals: UpstreamSignals,
+) {
     engine.metrics.signalled(signals);
-    if let Some(rate_limit) = signals.rate_limit
-        && let Some(suppressed) = engine.may_log()
-    {
-        tracing::info!(%upstream, %rate_limit, left_out = suppressed, "an upstream states a rate limit");
+    let now = engine.clock.now();
+    let mut limits = engine.tables.limits.lock();
+    let rate_changed = limits.note_rate(now, upstream, sent_at, signals.rate_limit);
+    drop(limits);
+    if !rate_changed {
+        return;
+    }
+    if let Some(suppressed) = engine.may_log() {
+        match signals.rate_limit {
+            Some(rate_limit) => {
+                tracing::info!(%upstream, %rate_limit, left_out = suppressed, "an upstream states a rate limit");
+            }
+            None => {
+                tracing::info!(%upstream, left_out = suppressed, "an upstream no longer states a rate limit");
+            }
+        }
     }
 }
--- a/src/process/fleet/addresses.rs
+++ b/src/process/fleet/addresses.rs
@@ -2,9 +2,12 @@
 
 use std::net::SocketAddr;
 
+use indexmap::IndexSet;
+
 use super::InstanceRecord;
 use crate::process::addresses::{CallerLocation, Distance, distance};
 use crate::process::cells::MemberState;
+use crate::types::{FailureDomain, Region};
 
 /// The maximum number of addresses in one answer.
 const MAX_ADDRESSES: usize = 64;
@@ -46,6 +49,31 @@
     chosen
 }
 
+/// Returns the number of instances that callers are sent to, wherever they are, if `me` is one
+/// of them. Another one only gets requests that are meant for it, and returns the number of
+/// all instances.
+pub(crate) fn serving_count(present: &[&InstanceRecord], me: SocketAddr) -> u32 {
+    let mut serving: IndexSet<SocketAddr> = IndexSet::new();
+    let domains: IndexSet<_> = present.iter().map(|record| home(record)).collect();
+    for (failure_domain, region) in domains {
+        let caller = CallerLocation {
+            failure_domain: Some(failure_domain.clone()),
+            region: Some(region.clone()),
+        };
+        serving.extend(choose(present.iter().copied(), &caller));
+    }
+    let counted = if serving.contains(&me) {
+        serving.len()
+    } else {
+        present.len()
+    };
+    u32::try_from(counted.max(1)).unwrap_or(u32::MAX)
+}
+
+fn home(record: &InstanceRecord) -> (&FailureDomain, &Region) {
+    (&record.member.failure_domain, &record.member.region)
+}
+
 fn addresses_of_large(near: &[&&InstanceRecord]) -> Vec<SocketAddr> {
     let max_capacity = near.iter().map(|record| record.capacity).max();
     let min_capacity = max_capacity.unwrap_or_default() / MIN_CAPACITY_DIVISOR;
--- a/src/process/fleet/addresses_tests.rs
+++ b/src/process/fleet/addresses_tests.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 
-use super::{CallerLocation, choose};
+use super::{CallerLocation, choose, serving_count};
 use crate::process::cells::{Member, MemberState};
 use crate::process::fleet::InstanceRecord;
 use crate::types::Incarnation;
@@ -69,3 +69,33 @@
         .collect();
     assert_eq!(chosen, wanted);
 }
+
+struct CountCase {
+    instances: &'static [&'static str],
+    me: u8,
+    wanted: u32,
+}
+
+#[rstest]
+#[case::all_of_one_size(CountCase {
+    instances: &["a/c/250/live", "a/c/250/live", "d/w/250/live", "d/w/250/live"], me: 0, wanted: 4,
+})]
+#[case::only_the_large_ones(CountCase {
+    instances: &["a/c/500/live", "a/c/500/live", "a/c/120/live", "d/w/500/live", "d/w/500/live", "d/w/120/live"],
+    me: 0, wanted: 4,
+})]
+#[case::a_small_one_beside_them(CountCase {
+    instances: &["a/c/500/live", "a/c/500/live", "a/c/120/live", "d/w/500/live", "d/w/500/live", "d/w/120/live"],
+    me: 2, wanted: 6,
+})]
+#[case::alone(CountCase { instances: &["a/c/500/live"], me: 0, wanted: 1 })]
+#[case::not_live_yet(CountCase { instances: &["a/c/500/joining"], me: 0, wanted: 1 })]
+fn instances_that_serve_callers_are_counted(#[case] case: CountCase) {
+    let instances: Vec<InstanceRecord> = (0..)
+        .zip(case.instances)
+        .map(|(at, text)| record(at, text))
+        .collect();
+    let present: Vec<&InstanceRecord> = instances.iter().collect();
+    let me = present[usize::from(case.me)].member.addr;
+    assert_eq!(serving_count(&present, me), case.wanted);
+}
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -170,15 +170,19 @@
     /// Divides the limits among the instances that are present.
     pub(super) fn divide_limits(&self) {
         let now = self.clock.now();
-        let live = {
+        let (live, serving) = {
             let fleet = self.fleet.lock();
-            u32::try_from(fleet.present().count()).unwrap_or(u32::MAX)
+            let present: Vec<&InstanceRecord> = fleet.present().collect();
+            let serving = addresses::serving_count(&present, self.settings.me.member.addr);
+            (u32::try_from(present.len()).unwrap_or(u32::MAX), serving)
         };
         let age = self.object_cache.lock().age(now);
         let confirmed = age.is_some_and(|age| age < CONFIRMED_WITHIN);
         let counted = self.instance_count.lock().count(now, live, confirmed);
         self.engine.tables.budgets.lock().services.set_live(counted);
-        self.engine.tables.limits.lock().set_live(now, counted);
+        let mut limits = self.engine.tables.limits.lock();
+        limits.set_live(now, counted);
+        limits.set_rate_sharers(now, serving);
     }
 
     /// Returns a receiver that completes at the next change of what this instance knows.
--- a/src/process/limits.rs
+++ b/src/process/limits.rs
@@ -5,10 +5,11 @@
 //! number of live instances, and adapts to the queue observed at the upstream. See
 //! `docs/DESIGN.md`, "Limits".
 
+use super::rate_budget::RateBudget;
 use super::window::Window;
 use super::{LegEnd, Table};
 use crate::request::LegFailure;
-use crate::types::{ConnectionCount, Span, Timestamp, UpstreamName};
+use crate::types::{ConnectionCount, PerSecond, Span, Timestamp, UpstreamName};
 use crate::version::UpstreamSpec;
 
 /// For every this many instances, the connections of one more are reserved, since a new
@@ -28,6 +29,10 @@
 pub struct Limits {
     live: u32,
     windows: Table<UpstreamName, Window>,
+    /// The number of instances that divide the rates which upstreams state.
+    rate_sharers: u32,
+    /// The upstreams that state how many requests a second they take.
+    rates: Table<UpstreamName, RateBudget>,
 }
 
 impl Default for Limits {
@@ -35,6 +40,8 @@
         Self {
             live: 1,
             windows: Table::default(),
+            rate_sharers: 1,
+            rates: Table::default(),
         }
     }
 }
@@ -52,9 +59,62 @@
     /// capacity, else when to check again.
     #[must_use]
     pub fn room_at(&self, now: Timestamp, spec: &UpstreamSpec) -> Timestamp {
-        self.windows
-            .get(&spec.name)
-            .map_or(now, |window| window.room_at(now))
+        let window = self.windows.get(&spec.name);
+        let window_room = window.map_or(now, |window| window.room_at(now));
+        window_room.max(self.rate_room_at(now, &spec.name))
+    }
+
+    /// Returns when the rate that the upstream states allows the next leg.
+    pub(crate) fn rate_room_at(&self, now: Timestamp, name: &UpstreamName) -> Timestamp {
+        let rate = self.rates.get(name);
+        rate.map_or(now, |rate| rate.room_at(now))
+    }
+
+    /// Whether any upstream states how many requests it takes.
+    pub(crate) fn has_rates(&self) -> bool {
+        !self.rates.is_empty()
+    }
+
+    /// Sets the number of instances that divide the rates which upstreams state.
+    pub(crate) fn set_rate_sharers(&mut self, now: Timestamp, sharers: u32) {
+        let sharers = sharers.max(1);
+        if sharers == self.rate_sharers {
+            return;
+        }
+        self.rate_sharers = sharers;
+        for rate in self.rates.values_mut() {
+            rate.set_sharers(now, sharers);
+        }
+    }
+
+    /// Records the rate that an upstream stated in its reply to a leg, or that it stated none.
+    /// Returns whether a limit began or ended.
+    pub(crate) fn note_rate(
+        &mut self,
+        now: Timestamp,
+        name: &UpstreamName,
+        sent_at: Timestamp,
+        stated: Option<PerSecond>,
+    ) -> bool {
+        match (stated, self.rates.get_mut(name)) {
+            (None, None) => false,
+            (None, Some(rate)) => {
+                let lifted = rate.is_lifted_by(sent_at);
+                if lifted {
+                    self.rates.swap_remove(name);
+                }
+                lifted
+            }
+            (Some(limit), Some(rate)) => {
+                rate.state(now, limit);
+                false
+            }
+            (Some(limit), None) => {
+                let rate = RateBudget::new(now, limit, self.rate_sharers);
+                self.rates.insert(name.clone(), rate);
+                true
+            }
+        }
     }
 
     /// Records that a leg is sent. Call it only if [`Limits::room_at`] returned `now`.
@@ -69,6 +129,9 @@
             .or_insert_with(|| Window::new(spec.slots, live));
         window.set_slots(spec.slots, live);
         window.take(now);
+        if let Some(rate) = self.rates.get_mut(&spec.name) {
+            rate.take(now);
+        }
     }
 
     /// Adapts the limit to the end of a leg after `took`. Call it before [`Limits::release`].
@@ -113,5 +176,7 @@
     fn drop_unused(&mut self, now: Timestamp) {
         self.windows
             .retain(|_, window| window.unused_for(now) < DROP_UNUSED_AFTER);
+        self.rates
+            .retain(|_, rate| rate.stated_for(now) < DROP_UNUSED_AFTER);
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -43,6 +43,7 @@
 mod poison;
 mod poison_wire;
 mod pool;
+mod rate_budget;
 mod service_retry_budget;
 mod settings;
 mod shutdown;
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -6,13 +6,71 @@
 
 use super::{Context, hedge};
 use crate::error::{ErrorKind, Refusal};
-use crate::types::{Span, Timestamp};
-use crate::version::Class;
+use crate::types::{Ratio, Span, Timestamp};
+use crate::version::{Class, Shard, Snapshot};
 
 const MEDIAN_QUANTILE: f64 = 0.5;
 /// Share of the queries that are expected to miss their deadline but are admitted anyway.
 const PROBE_RATIO: f64 = 1.0 / 16.0;
 
+/// The least time over which refused callers are told to spread their return.
+const MIN_RETRY_SPREAD: Span = Span::from_millis(100);
+
+/// Admits a query unless so many of its shards have no replica that takes a leg now, by what
+/// the replicas state themselves, that the answer could not meet its coverage target. A query
+/// that begins without them would use up what others need, and get no answer itself.
+///
+/// # Errors
+/// [`ErrorKind::Overloaded`], which states that the query was not run, with the time at which
+/// enough replicas take a leg.
+pub(super) fn check_stated_room(
+    cx: &mut Context<'_>,
+    class: &Class,
+    snapshot: &Snapshot,
+) -> Result<(), Refusal> {
+    if !cx.limits.has_rates() {
+        return Ok(());
+    }
+    let mut rooms: Vec<(Timestamp, u64)> = snapshot
+        .shards
+        .iter()
+        .filter_map(|shard| Some((room_at(cx, shard)?, shard.range.width())))
+        .collect();
+    rooms.sort_unstable();
+    let keys = snapshot
+        .shards
+        .iter()
+        .map(|shard| shard.range.width())
+        .sum();
+    let mut covered = 0;
+    for (room_at, width) in rooms {
+        covered += width;
+        if Ratio::of(covered, keys) >= class.targets.coverage {
+            return admit_at(cx, room_at);
+        }
+    }
+    // Too few shards have a replica at all; the query finds that out by itself.
+    Ok(())
+}
+
+fn admit_at(cx: &mut Context<'_>, room_at: Timestamp) -> Result<(), Refusal> {
+    let wait = room_at.since(cx.now);
+    if wait == Span::ZERO {
+        return Ok(());
+    }
+    let spread = cx.rng.random_range(0..=wait.max(MIN_RETRY_SPREAD).0);
+    let detail = format!("too many upstreams take no request for the next {wait}");
+    Err(Refusal::new(ErrorKind::Overloaded, detail).with_retry_after(Span(wait.0 + spread)))
+}
+
+/// Returns when a replica of the shard takes a leg by what it states; `None` without a replica.
+fn room_at(cx: &Context<'_>, shard: &Shard) -> Option<Timestamp> {
+    let replicas = shard.replicas.iter().filter(|replica| !replica.leaving);
+    replicas
+        .map(|replica| cx.limits.rate_room_at(cx.now, &replica.name))
+        .min()
+}
+
 /// Admits a query unless half of its legs would still be waiting or in flight at the
 /// deadline, judging by the latest legs of the class. A share of the queries that fail
 /// this check but have time left is admitted anyway, so that a recovery is noticed.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -35,6 +35,8 @@
 mod simulation_tests;
 #[cfg(test)]
 mod snapshot_tests;
+#[cfg(test)]
+mod stated_room_tests;
 
 pub use answer::{Answer, Part};
 pub use context::{Action, Context, Event};
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -121,7 +121,9 @@
     /// Sends one leg to each shard, or refuses the query if it cannot finish in time.
     pub fn start(&mut self, cx: &mut Context<'_>) -> Vec<Action> {
         let mut actions = vec![Action::WakeAt(self.deadline)];
-        if let Err(refusal) = admit::admit(cx, &self.class, self.deadline) {
+        let admitted = admit::admit(cx, &self.class, self.deadline)
+            .and_then(|()| admit::check_stated_room(cx, &self.class, &self.snapshot));
+        if let Err(refusal) = admitted {
             self.finish(cx, Some(Err(refusal)), &mut actions);
             return actions;
         }
