End bodies with a trailer that has no end

Reported by operators of systems like ours: bytes that are no answer may come without end, in a head or a body, until the reader closes.

A replica that sends trailer fields without end, each of them short, was read for ever. Worse, its bytes are always there to be read, so the read never yields and the timeout around it never fires: a process with one thread serves nobody any more. The bound was on a single field.

The bound is now on the whole trailer. The other twelve cases (heads, fields, lengths, chunks, bodies until the close) ended by themselves before. A reply may have a megabyte instead of four, so that many replicas that send bodies without end fit into the memory of a small machine.

--- a/src/connection/http1_chunks.rs
+++ b/src/connection/http1_chunks.rs
@@ -49,18 +49,20 @@
 
     /// Reads and discards the trailer fields after the last chunk.
     async fn skip_trailer(&mut self) -> Result<(), HttpError> {
+        let mut skipped = 0;
         loop {
-            if let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") {
-                self.buf.drain(..at + 2);
-                if at == 0 {
-                    return Ok(());
-                }
-                continue;
-            }
-            if self.buf.len() > MAX_TRAILER_BYTES {
+            if skipped + self.buf.len() > MAX_TRAILER_BYTES {
                 return Err(HttpError::Malformed("the trailer is too long"));
             }
-            self.fill_more().await?;
+            let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") else {
+                self.fill_more().await?;
+                continue;
+            };
+            self.buf.drain(..at + 2);
+            skipped += at + 2;
+            if at == 0 {
+                return Ok(());
+            }
         }
     }
 }
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -45,6 +45,8 @@
 #[cfg(test)]
 mod cost_tests;
 #[cfg(test)]
+mod endless_tests;
+#[cfg(test)]
 mod heartbeat_tests;
 #[cfg(test)]
 mod links_tests;
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -27,7 +27,9 @@
 /// An idle connection is kept for this many quarters of the time that its replica states, so that
 /// the replica does not close it at the moment when a request is sent.
 const KEEP_ALIVE_QUARTERS: u64 = 3;
-const MAX_REPLY_BYTES: usize = 4 << 20;
+/// The platform's values have at most a megabyte. Many replicas at once may send bodies without
+/// end, which all have to fit into the memory of a small machine.
+const MAX_REPLY_BYTES: usize = 1 << 20;
 /// From this number of pools on, unused ones (of replicas that are gone) are dropped before a new
 /// one is added.
 const PRUNE_THRESHOLD: usize = 512;
