Show that a head that breaks off anywhere is rejected

Reported by operators of systems like ours: a replica that stopped in the middle of its head led to a 200 with an empty or short body. It cannot happen here: each prefix of three kinds of responses is an error.

--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -102,3 +102,35 @@
         HttpError::HeadTooLarge | HttpError::Malformed(_)
     ));
 }
+
+struct BrokenHead {
+    name: &'static str,
+    response: &'static [u8],
+}
+
+/// Guards against a head that breaks off and is taken for a whole answer with an empty or short
+/// body.
+#[test]
+fn a_head_that_breaks_off_anywhere_is_rejected() {
+    let cases = [
+        BrokenHead {
+            name: "with a length",
+            response: b"HTTP/1.1 200 OK\r\nAnswer-Stamp: 3e1b\r\nContent-Length: 0\r\n\r\n",
+        },
+        BrokenHead {
+            name: "chunked",
+            response: b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        },
+        BrokenHead {
+            name: "until close",
+            response: b"HTTP/1.1 200 OK\r\nAnswer-Stamp: 3e1b\r\n\r\n",
+        },
+    ];
+    for case in cases {
+        assert!(responses(case.response)[0].is_ok(), "{}", case.name);
+        for len in 0..case.response.len() {
+            let read = responses(&case.response[..len]);
+            assert!(read[0].is_err(), "{} cut after {len} bytes", case.name);
+        }
+    }
+}
