Let odd entries of other writers hide no replica

Reported by operators of systems like ours: one odd entry among those of the replicas ended the machines that read the list, or stopped them from following it.

Three faults, each shown by a test that fails before: - bytes that are not UTF-8 in one entry made the whole page unreadable, so that nobody followed the list any more. They are replaced; the entry then names no replica. - a page whose last object has no readable name could not be continued. The next page now starts after the last readable name. - an address with port 0 named a replica that can never be reached. It is rejected.

Not here: deeply nested lists and objects (200,000 levels, as the entry and as a field), numbers beyond their type, a negative one, a port out of range, a lone surrogate. Each entry is skipped with a log line; the same test passes for them on the code as it was.

--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -146,6 +146,10 @@
 }
 
 fn replica_entry(id: &str, wire: &ServerWire) -> Result<ReplicaEntry, ParseError> {
+    if wire.address.port() == 0 {
+        let address = wire.address.to_string();
+        return Err(ParseError::new("an address", &address, "it has no port"));
+    }
     let born = wire.born.unwrap_or_default();
     Ok(ReplicaEntry {
         service: wire.service.parse()?,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,7 +13,7 @@
 use super::store_connections::{Reply, StoreConnections};
 use super::store_wire::{
     EventsWire, PageWire, WriteMetaWire, WriteWire, add_page, decode_changes, decode_instances,
-    decode_object, protocol_error,
+    decode_object, protocol_error, text,
 };
 use crate::process::{
     CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
@@ -111,19 +111,20 @@
             let mut after: Option<String> = None;
             for page in 0..MAX_PAGES {
                 let reply = self.read_page(kind, after.as_deref()).await?;
-                let wire: PageWire<'_> =
-                    serde_json::from_slice(&reply.body).map_err(protocol_error)?;
+                let text = text(&reply.body);
+                let wire: PageWire<'_> = serde_json::from_str(&text).map_err(protocol_error)?;
                 if page == 0 {
                     // Changes made while later pages are read are reported by a watch from this revision.
                     listing.revision = Revision(wire.current_rev);
                 }
                 add_page(&mut listing, kind, &wire);
-                after = wire.last_name()?;
-                if !wire.more || after.is_none() {
+                if !wire.more || wire.items.is_empty() {
                     let is_under = |object: &Object| object.key.is_under(prefix);
                     listing.objects.retain(is_under);
                     return Ok(listing);
                 }
+                let last_name = wire.last_name();
+                after = Some(last_name.ok_or_else(|| protocol_error("a page has no names"))?);
             }
             Err(protocol_error("the listing has too many pages"))
         })
@@ -184,8 +185,8 @@
                 escape(kind)
             );
             let reply = self.connections.read(&path, wait.as_duration()).await?;
-            let wire: EventsWire<'_> =
-                serde_json::from_slice(&reply.body).map_err(protocol_error)?;
+            let text = text(&reply.body);
+            let wire: EventsWire<'_> = serde_json::from_str(&text).map_err(protocol_error)?;
             let mut changes = decode_changes(kind, &wire);
             let is_under = |change: &Change| change.key.is_under(prefix);
             changes.changes.retain(is_under);
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -1,5 +1,7 @@
 //! The JSON bodies of the store's object API.
 
+use std::borrow::Cow;
+
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
@@ -21,20 +23,18 @@
 }
 
 impl PageWire<'_> {
-    /// Returns the name of the last object, after which the next page starts.
-    ///
-    /// # Errors
-    /// [`PlatformError::Protocol`] if the last object has no name.
-    pub(super) fn last_name(&self) -> Result<Option<String>, PlatformError> {
+    /// Returns the name of the last object that has a readable one, after which the next page
+    /// starts.
+    pub(super) fn last_name(&self) -> Option<String> {
         #[derive(Deserialize)]
         struct Named {
             meta: MetaWire,
         }
-        let Some(last) = self.items.last() else {
-            return Ok(None);
+        let name = |raw: &&RawValue| {
+            let named: Named = serde_json::from_str(raw.get()).ok()?;
+            Some(named.meta.name)
         };
-        let named: Named = serde_json::from_str(last.get()).map_err(protocol_error)?;
-        Ok(Some(named.meta.name))
+        self.items.iter().rev().find_map(name)
     }
 }
 
@@ -104,6 +104,12 @@
     pub(super) revision: Option<u64>,
 }
 
+/// Returns the text of a body. Bytes that are not UTF-8 are replaced, so that the object which has
+/// them does not hide the others.
+pub(super) fn text(body: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(body)
+}
+
 pub(super) fn protocol_error(error: impl std::fmt::Display) -> PlatformError {
     PlatformError::Protocol(error.to_string())
 }
