Send no legs to an upstream that says that it leaves

It went on getting its usual load until its entry in the store changed, or for ever if that never says so.

It is decoded with the others, kept by the upstream's name (which holds its incarnation) beside its drain, and read by Upstreams::choose, which all legs pass. A query that would miss its coverage is refused at once, not run.

--- a/src/platform/signals_tests.rs
+++ b/src/platform/signals_tests.rs
@@ -14,10 +14,16 @@
 
 const NONE: UpstreamSignals = UpstreamSignals {
     rate_limit: None,
+    leaving: false,
     invalid: 0,
 };
 const INVALID: UpstreamSignals = UpstreamSignals { invalid: 1, ..NONE };
 
+const LEAVING: UpstreamSignals = UpstreamSignals {
+    leaving: true,
+    ..NONE
+};
+
 const fn rate_limit(per_sec: f64) -> UpstreamSignals {
     UpstreamSignals {
         rate_limit: Some(PerSecond(per_sec)),
@@ -34,6 +40,13 @@
 #[case::infinite_rate_limit(Case { fields: &[("Server-Limit", "inf")], wanted: INVALID })]
 #[case::rate_limit_that_is_no_number(Case { fields: &[("Server-Limit", "NaN")], wanted: INVALID })]
 #[case::rate_limit_in_words(Case { fields: &[("Server-Limit", "few")], wanted: INVALID })]
+#[case::leaving(Case { fields: &[("Server-Leaving", "1")], wanted: LEAVING })]
+#[case::not_leaving(Case { fields: &[("Server-Leaving", "0")], wanted: NONE })]
+#[case::leaving_in_words(Case { fields: &[("Server-Leaving", "soon")], wanted: INVALID })]
+#[case::leaving_and_limited(Case {
+    fields: &[("Server-Leaving", "1"), ("Server-Limit", "2")],
+    wanted: UpstreamSignals { leaving: true, ..rate_limit(2.0) },
+})]
 fn signals_are_decoded_or_ignored(#[case] case: Case) {
     let headers: Vec<httparse::Header<'_>> = case
         .fields
--- a/src/process/candidates.rs
+++ b/src/process/candidates.rs
@@ -4,7 +4,6 @@
 use rand::rngs::SmallRng;
 
 use super::Choice;
-use super::upstream_stats::Readiness;
 use crate::types::Timestamp;
 
 /// Replicas past this number are never chosen: `SelectionRequest::tried` has 64 bits.
@@ -13,6 +12,17 @@
 /// spreads the legs of many instances.
 const MAX_COMPARED: usize = 8;
 
+/// How suitable an upstream is for one more leg, best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Readiness {
+    /// It may be chosen.
+    Ready,
+    /// It is in slow start, and this leg would exceed its share.
+    Ramping,
+    /// It failed recently; used only as a last resort.
+    Avoided,
+}
+
 /// The replicas with capacity, of the best readiness found so far.
 pub(super) struct Candidates {
     readiness: Readiness,
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -9,7 +9,7 @@
 use super::{Engine, LegResult, UpstreamSignals};
 use crate::request::{Action, Context, Event, LegFailure, LegReply, LegRequest};
 use crate::types::{LegId, QueryId, Span, Timestamp, UpstreamName};
-use crate::version::Directory;
+use crate::version::{Directory, UpstreamSpec};
 
 /// How long a leg that is no longer needed may continue, so that its connection can be
 /// kept. Replicas pause for up to 300 ms.
@@ -160,7 +160,7 @@
         outcome: result,
     } = engine.transport.call(leg, max_connections).await;
     if let Some(signals) = signals {
-        note_signals(&engine, &upstream.name, sent_at, signals);
+        note_signals(&engine, &upstream, sent_at, signals);
     }
     if result.is_ok() {
         let now = engine.clock.now();
@@ -188,19 +188,20 @@
 /// Records what an upstream said of itself in its reply to a leg.
 fn note_signals(
     engine: &Engine,
-    upstream: &UpstreamName,
+    upstream: &UpstreamSpec,
     sent_at: Timestamp,
     signals: UpstreamSignals,
 ) {
     engine.metrics.signalled(signals);
     let now = engine.clock.now();
     let mut limits = engine.tables.limits.lock();
-    let rate_changed = limits.note_rate(now, upstream, sent_at, signals.rate_limit);
+    let rate_changed = limits.note_rate(now, &upstream.name, sent_at, signals.rate_limit);
     drop(limits);
-    if !rate_changed {
-        return;
-    }
-    if let Some(suppressed) = engine.may_log() {
+    let mut upstreams = engine.tables.upstreams.lock();
+    let begins_to_leave = upstreams.note_signals(now, upstream, signals);
+    drop(upstreams);
+    let upstream = &upstream.name;
+    if rate_changed && let Some(suppressed) = engine.may_log() {
         match signals.rate_limit {
             Some(rate_limit) => {
                 tracing::info!(%upstream, %rate_limit, left_out = suppressed, "an upstream states a rate limit");
@@ -210,4 +211,7 @@
             }
         }
     }
+    if begins_to_leave && let Some(suppressed) = engine.may_log() {
+        tracing::info!(%upstream, left_out = suppressed, "an upstream says that it leaves");
+    }
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -82,6 +82,7 @@
             }
         };
         count("rate-limit", u64::from(signals.rate_limit.is_some()));
+        count("leaving", u64::from(signals.leaving));
         count("invalid", u64::from(signals.invalid));
     }
 
--- a/src/process/upstream_signals.rs
+++ b/src/process/upstream_signals.rs
@@ -11,6 +11,8 @@
 pub(crate) struct UpstreamSignals {
     /// The requests that it takes from all instances together, until a reply states none.
     pub(crate) rate_limit: Option<PerSecond>,
+    /// Whether it leaves, and takes no new requests.
+    pub(crate) leaving: bool,
     /// How many of the signals could not be decoded.
     pub(crate) invalid: u32,
 }
--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -8,6 +8,8 @@
 use rand::rngs::SmallRng;
 
 use super::LegEnd;
+use super::candidates::Readiness;
+use super::stated_availability::StatedAvailability;
 use crate::request::LegFailure;
 use crate::types::{SnapshotId, Span, Timestamp};
 
@@ -47,6 +49,8 @@
     pub(super) last_used: Timestamp,
     /// Whether the platform withdrew it after listing it.
     pub(super) withdrawn: bool,
+    /// What it said of itself.
+    pub(super) stated: StatedAvailability,
     mean_micros: f64,
     mean_updated_at: Timestamp,
     slow_start_from: Option<Timestamp>,
@@ -67,17 +71,6 @@
     gone_snapshots: [Option<(SnapshotId, Timestamp)>; MAX_GONE_SNAPSHOTS],
 }
 
-/// How suitable an upstream is for one more leg, best first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(super) enum Readiness {
-    /// It may be chosen.
-    Ready,
-    /// It is in slow start, and this leg would exceed its share.
-    Ramping,
-    /// It failed recently; used only as a last resort.
-    Avoided,
-}
-
 impl UpstreamStats {
     /// Creates the entry of an unused upstream with an estimated latency. If `cold`, as
     /// for one that appears while others are already in use, it begins with slow start.
@@ -86,6 +79,7 @@
             in_flight: 0,
             last_used: now,
             withdrawn: false,
+            stated: StatedAvailability::default(),
             mean_micros: guess_micros,
             mean_updated_at: now,
             slow_start_from: cold.then_some(now),
@@ -149,7 +143,10 @@
 
     /// Whether it must not be sent legs of this snapshot, even as a last resort.
     pub(super) fn is_excluded(&self, now: Timestamp, snapshot: SnapshotId) -> bool {
-        self.withdrawn || now < self.drained_until || self.lacks_snapshot(now, snapshot)
+        self.withdrawn
+            || self.stated.is_leaving(now)
+            || now < self.drained_until
+            || self.lacks_snapshot(now, snapshot)
     }
 
     /// Whether it recently reported that it does not have the snapshot. Other snapshots
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -12,7 +12,7 @@
 use super::upstream_stats::{UpstreamStats, micros};
 use super::{Choice, LegEnd, Limits, Replicas, SelectionRequest, Table};
 use crate::request::LegFailure;
-use crate::types::{ClassName, FailureDomain, SnapshotId, Span, Timestamp, UpstreamName};
+use crate::types::{ClassName, FailureDomain, Span, Timestamp, UpstreamName};
 use crate::version::{Snapshot, UpstreamSpec};
 
 const INITIAL_LATENCY: Span = Span::from_millis(20);
@@ -28,9 +28,6 @@
 /// its distance is measured anew.
 const MIN_LATENCY_TTL: Span = Span::from_secs(5);
 
-/// Limits the silent upstreams that wait to be reported to other instances.
-const MAX_SILENT: usize = 256;
-
 /// The load and the latency of one upstream, as this instance observes them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct UpstreamLoad {
@@ -43,13 +40,15 @@
 /// Every recently used upstream, by name.
 #[derive(Clone, Debug, Default)]
 pub struct Upstreams {
-    by_name: Table<UpstreamName, UpstreamStats>,
+    pub(super) by_name: Table<UpstreamName, UpstreamStats>,
     by_class: Table<ClassName, ClassLatency>,
     by_domain: Table<FailureDomain, DomainLatency>,
     availability: SnapshotAvailability,
     /// Upstreams that left legs unanswered, with the time since when they are silent, to
     /// be reported to other instances.
-    silent: Table<UpstreamName, Timestamp>,
+    pub(super) silent: Table<UpstreamName, Timestamp>,
+    /// The latest time at which what an upstream said of itself ends.
+    pub(super) stated_until: Timestamp,
     home: Option<FailureDomain>,
     first_use: Option<Timestamp>,
     prune_at: usize,
@@ -142,45 +141,6 @@
         }
     }
 
-    /// Records that an upstream replied, even if the leg was cancelled.
-    pub fn note_reply(&mut self, now: Timestamp, name: &UpstreamName) {
-        if let Some(stats) = self.by_name.get_mut(name) {
-            stats.note_reply(now);
-        }
-    }
-
-    /// Records that a leg was abandoned without a reply. The upstream counts as silent if it
-    /// has not replied since `since`.
-    pub(crate) fn note_no_reply(&mut self, since: Timestamp, name: &UpstreamName) {
-        let stats = self.by_name.get(name);
-        let is_silent = stats.is_some_and(|stats| stats.is_silent_since(since));
-        if is_silent && self.silent.len() < MAX_SILENT {
-            self.silent.insert(name.clone(), since);
-        }
-    }
-
-    /// Takes the upstreams that left legs unanswered since the last call.
-    pub(crate) fn take_silent(&mut self) -> Table<UpstreamName, Timestamp> {
-        std::mem::take(&mut self.silent)
-    }
-
-    /// Avoids an upstream that other instances found silent, unless it replied since.
-    pub(crate) fn avoid_silent(&mut self, name: &UpstreamName, since: Timestamp, until: Timestamp) {
-        if let Some(stats) = self.by_name.get_mut(name) {
-            stats.avoid_silent(since, until);
-        }
-    }
-
-    /// Records that an upstream does not hold a snapshot.
-    pub fn note_snapshot_gone(
-        &mut self,
-        now: Timestamp,
-        spec: &UpstreamSpec,
-        snapshot: SnapshotId,
-    ) {
-        self.stats_mut(now, spec).note_snapshot_gone(now, snapshot);
-    }
-
     /// Returns the minimum latency to the upstream's failure domain; zero while unknown.
     pub(crate) fn min_latency_to(&self, now: Timestamp, spec: &UpstreamSpec) -> Span {
         Span::from_micros_f64(self.min_latency_micros(now, spec))
@@ -232,7 +192,7 @@
         self.by_name.values().map(|stats| stats.in_flight).sum()
     }
 
-    fn stats_mut(&mut self, now: Timestamp, spec: &UpstreamSpec) -> &mut UpstreamStats {
+    pub(super) fn stats_mut(&mut self, now: Timestamp, spec: &UpstreamSpec) -> &mut UpstreamStats {
         if let Some(at) = self.by_name.get_index_of(&spec.name) {
             return &mut self.by_name[at];
         }
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -21,14 +21,14 @@
 /// that begins without them would use up what others need, and get no answer itself.
 ///
 /// # Errors
-/// [`ErrorKind::Overloaded`], which states that the query was not run, with the time at which
-/// enough replicas take a leg.
+/// [`ErrorKind::Overloaded`] with the time at which enough replicas take a leg, or
+/// [`ErrorKind::NoUpstream`] if too few stay. Both state that the query was not run.
 pub(super) fn check_stated_room(
     cx: &mut Context<'_>,
     class: &Class,
     snapshot: &Snapshot,
 ) -> Result<(), Refusal> {
-    if !cx.limits.has_rates() {
+    if !cx.limits.has_rates() && !cx.upstreams.has_stated(cx.now) {
         return Ok(());
     }
     let mut rooms: Vec<(Timestamp, u64)> = snapshot
@@ -49,8 +49,8 @@
             return admit_at(cx, room_at);
         }
     }
-    // Too few shards have a replica at all; the query finds that out by itself.
-    Ok(())
+    let detail = "too few shards have a replica that stays";
+    Err(Refusal::new(ErrorKind::NoUpstream, detail))
 }
 
 fn admit_at(cx: &mut Context<'_>, room_at: Timestamp) -> Result<(), Refusal> {
@@ -67,7 +67,10 @@
 fn room_at(cx: &Context<'_>, shard: &Shard) -> Option<Timestamp> {
     let replicas = shard.replicas.iter().filter(|replica| !replica.leaving);
     replicas
-        .map(|replica| cx.limits.rate_room_at(cx.now, &replica.name))
+        .filter_map(|replica| {
+            cx.upstreams
+                .stated_room_at(cx.now, cx.limits, &replica.name)
+        })
         .min()
 }
 
--- a/src/request/stated_room_tests.rs
+++ b/src/request/stated_room_tests.rs
@@ -7,6 +7,7 @@
 
 use super::harness_tests::{Harness, Setup, upstream};
 use crate::error::{ErrorKind, Ran};
+use crate::process::UpstreamSignals;
 use crate::types::{PerSecond, Ratio, Span, Timestamp};
 
 const SHARDS: u32 = 20;
@@ -73,6 +74,48 @@
     }
 }
 
+struct LeavingCase {
+    /// The number of shards with one replica that leaves, and with two.
+    half_leaving: u32,
+    leaving: u32,
+    wanted_legs: Option<u32>,
+}
+
+/// Replicas that say that they leave get no legs, and a query that cannot be answered without them
+/// is refused at once.
+#[rstest]
+#[case::one_of_two(LeavingCase { half_leaving: 20, leaving: 0, wanted_legs: Some(20) })]
+#[case::enough_shards_are_left(LeavingCase { half_leaving: 0, leaving: 2, wanted_legs: Some(18) })]
+#[case::too_few_shards_are_left(LeavingCase { half_leaving: 0, leaving: 3, wanted_legs: None })]
+fn no_leg_goes_to_a_replica_that_says_it_leaves(#[case] case: LeavingCase) {
+    let mut harness = Harness::new(Setup {
+        shards: SHARDS,
+        coverage: Ratio::from_ppm(890_000),
+        ..Setup::default()
+    });
+    let signals = UpstreamSignals {
+        leaving: true,
+        ..UpstreamSignals::default()
+    };
+    let mut leaving = Vec::new();
+    for shard in 0..case.half_leaving + case.leaving {
+        for replica in 0..if shard < case.leaving { 2 } else { 1 } {
+            let upstream = upstream(&format!("s{shard}r{replica}"), 100);
+            let now = harness.now;
+            harness.upstreams.note_signals(now, &upstream, signals);
+            leaving.push(upstream.name.clone());
+        }
+    }
+    harness.next_query();
+    let sent = u32::try_from(harness.sent.len()).unwrap();
+    assert_eq!(sent, case.wanted_legs.unwrap_or_default());
+    let names = harness.sent.iter().map(|leg| &leg.upstream.name);
+    assert_eq!(names.filter(|name| leaving.contains(name)).count(), 0);
+    if case.wanted_legs.is_none() {
+        assert_eq!(harness.refusal().kind, ErrorKind::NoUpstream);
+    }
+}
+
 /// A query refused for want of room takes none of it, so that each round serves one whole.
 #[test]
 fn a_share_of_the_queries_is_answered_whole() {
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -18,6 +18,9 @@
 /// The requests a second that a replica in need takes.
 pub(crate) const RATE_LIMIT: u32 = 12;
 
+/// How long a replica that turns requests away wants none.
+pub(crate) const PAUSE: Duration = Duration::from_millis(1_500);
+
 /// How a replica handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum ReplicaMode {
@@ -37,6 +40,10 @@
     Fails,
     /// States in every answer that it takes [`RATE_LIMIT`] requests a second from all instances.
     StatesRateLimit,
+    /// Says in every answer that it leaves, and goes on serving.
+    SaysItLeaves,
+    /// Turns every request away and asks for a pause of [`PAUSE`].
+    AsksForPause,
 }
 
 /// One run of a request by a replica.
@@ -171,6 +178,11 @@
         if mode == ReplicaMode::Sheds {
             return http::response(503, &[("Not-Executed", "1")], b"");
         }
+        if mode == ReplicaMode::AsksForPause {
+            let pause = PAUSE.as_secs_f64().to_string();
+            let fields = [("Not-Executed", "1"), ("Retry-After", pause.as_str())];
+            return http::response(503, &fields, b"");
+        }
         self.runs.lock().push(Run {
             request: request.clone(),
             service: self.service.clone(),
@@ -183,6 +195,9 @@
         if mode == ReplicaMode::StatesRateLimit {
             fields.push(("Server-Limit", &limit));
         }
+        if mode == ReplicaMode::SaysItLeaves {
+            fields.push(("Server-Leaving", "1"));
+        }
         http::response(status, &fields, &records(&self.service, &request))
     }
 }
