Count instances that join among those that share a stated rate

Right after a start an upstream got up to 84 requests in 4 s where it allows 77 (limit 12 a second). Seen in two of five runs of upstream_signals, in up to three of its cases, while 51 processes ran; traced, not put down to load: the count by quarter of a second shows three times the limit until 3 s after the start, then the limit.

Cause: instances that start probe each other before any of them is initialized, take that for stale updates, and avoid each other for 3 s. Until then each knows the others as joining, and only live ones counted, so that each took the whole limit.

Instances that join count now. The counts by case are tables of serving_count. Open: the 3 s in which instances that start avoid each other.

--- a/src/process/fleet/addresses.rs
+++ b/src/process/fleet/addresses.rs
@@ -28,31 +28,17 @@
     let live: Vec<&InstanceRecord> = present
         .filter(|record| record.member.state == MemberState::Live)
         .collect();
-    let distance =
-        |record: &InstanceRecord| distance(&record.member, caller, caller.region.as_ref());
-    let mut chosen = Vec::new();
-    for max_distance in [
-        Distance::SameFailureDomain,
-        Distance::SameRegion,
-        Distance::Elsewhere,
-    ] {
-        let near: Vec<&&InstanceRecord> = live
-            .iter()
-            .filter(|record| distance(record) <= max_distance)
-            .collect();
-        chosen = addresses_of_large(&near);
-        if chosen.len() >= MIN_ADDRESSES {
-            break;
-        }
-    }
+    let mut chosen = addresses_near(&live, caller);
     chosen.truncate(MAX_ADDRESSES);
     chosen
 }
 
 /// Returns the number of instances that callers are sent to, wherever they are, if `me` is one
 /// of them. Another one only gets requests that are meant for it, and returns the number of
-/// all instances.
+/// all instances. One that joins counts already: it is live before others hear of it.
 pub(crate) fn serving_count(present: &[&InstanceRecord], me: SocketAddr) -> u32 {
+    let serves = |record: &&&InstanceRecord| record.member.state <= MemberState::Live;
+    let usable: Vec<&InstanceRecord> = present.iter().filter(serves).copied().collect();
     let mut serving: IndexSet<SocketAddr> = IndexSet::new();
     let domains: IndexSet<_> = present.iter().map(|record| home(record)).collect();
     for (failure_domain, region) in domains {
@@ -60,7 +46,7 @@
             failure_domain: Some(failure_domain.clone()),
             region: Some(region.clone()),
         };
-        serving.extend(choose(present.iter().copied(), &caller));
+        serving.extend(addresses_near(&usable, &caller));
     }
     let counted = if serving.contains(&me) {
         serving.len()
@@ -70,6 +56,27 @@
     u32::try_from(counted.max(1)).unwrap_or(u32::MAX)
 }
 
+fn addresses_near(live: &[&InstanceRecord], caller: &CallerLocation) -> Vec<SocketAddr> {
+    let distance =
+        |record: &InstanceRecord| distance(&record.member, caller, caller.region.as_ref());
+    let mut chosen = Vec::new();
+    for max_distance in [
+        Distance::SameFailureDomain,
+        Distance::SameRegion,
+        Distance::Elsewhere,
+    ] {
+        let near: Vec<&&InstanceRecord> = live
+            .iter()
+            .filter(|record| distance(record) <= max_distance)
+            .collect();
+        chosen = addresses_of_large(&near);
+        if chosen.len() >= MIN_ADDRESSES {
+            break;
+        }
+    }
+    chosen
+}
+
 fn home(record: &InstanceRecord) -> (&FailureDomain, &Region) {
     (&record.member.failure_domain, &record.member.region)
 }
--- a/src/process/fleet/addresses_tests.rs
+++ b/src/process/fleet/addresses_tests.rs
@@ -89,6 +89,12 @@
     me: 2, wanted: 6,
 })]
 #[case::alone(CountCase { instances: &["a/c/500/live"], me: 0, wanted: 1 })]
+#[case::others_that_join(CountCase {
+    instances: &["a/c/250/live", "a/c/250/joining", "d/w/250/joining"], me: 0, wanted: 3,
+})]
+#[case::others_that_leave(CountCase {
+    instances: &["a/c/250/live", "a/c/250/live", "a/c/250/leaving"], me: 0, wanted: 2,
+})]
 #[case::not_live_yet(CountCase { instances: &["a/c/500/joining"], me: 0, wanted: 1 })]
 fn instances_that_serve_callers_are_counted(#[case] case: CountCase) {
     let instances: Vec<InstanceRecord> = (0..)
--- a/tests/upstream_signals.rs
+++ b/tests/upstream_signals.rs
@@ -66,7 +66,8 @@
     let count = counted.count();
     assert!(
         count <= ALLOWED,
-        "{count} requests in {WINDOW:?}, {ALLOWED} allowed"
+        "{count} requests in {WINDOW:?}, {ALLOWED} allowed; by quarter of a second: {:?}",
+        histogram(from, &arrivals)
     );
     assert!(count > 0, "the limited upstream is not lost");
 }
@@ -139,3 +140,13 @@
         (from, arrivals)
     })
 }
+
+/// Returns the number of arrivals in each quarter of a second from two seconds before `from` on.
+fn histogram(from: Instant, arrivals: &[Instant]) -> Vec<usize> {
+    let step = Duration::from_millis(250);
+    let begin = from.checked_sub(SETTLE).unwrap_or(from);
+    (0..24)
+        .map(|at| begin + step * at..begin + step * (at + 1))
+        .map(|span| arrivals.iter().filter(|at| span.contains(*at)).count())
+        .collect()
+}
