Leave an upstream alone for the pause that it asks for

It is decoded with the others, from a 503 only, kept beside the drain, and read by Upstreams::choose. A pausing replica counts as a last resort, so that another one is used even if it failed lately. A query that would miss its coverage is refused at once, with the time at which enough pauses are over.

Also table tests of the values (negative, infinite, a date, absurdly long: cut to a minute) and of the refusals.

--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -117,7 +117,7 @@
             .map_err(|_| LegFailure::OutOfTime)?
             .map_err(|error| leg_failure(&error))?;
         if reply::is_from_upstream(&head, payload.id) {
-            *signals = Some(signals::decode(&head.fields));
+            *signals = Some(signals::decode(&head));
         }
         let reply_head = reply::validate(&head, payload.id);
         if !head.closes() && !conn.has_buffered_bytes() && reply_head != Err(LegFailure::Mangled) {
--- a/src/platform/signals_tests.rs
+++ b/src/platform/signals_tests.rs
@@ -3,11 +3,12 @@
 use rstest::rstest;
 
 use super::decode;
-use crate::connection::Fields;
+use crate::connection::{Fields, ResponseHead};
 use crate::process::UpstreamSignals;
-use crate::types::PerSecond;
+use crate::types::{PerSecond, Span};
 
 struct Case {
+    status: u16,
     fields: &'static [(&'static str, &'static str)],
     wanted: UpstreamSignals,
 }
@@ -15,10 +16,18 @@
 const NONE: UpstreamSignals = UpstreamSignals {
     rate_limit: None,
     leaving: false,
+    pause: None,
     invalid: 0,
 };
 const INVALID: UpstreamSignals = UpstreamSignals { invalid: 1, ..NONE };
 
+const fn pause(pause: Span) -> UpstreamSignals {
+    UpstreamSignals {
+        pause: Some(pause),
+        ..NONE
+    }
+}
+
 const LEAVING: UpstreamSignals = UpstreamSignals {
     leaving: true,
     ..NONE
@@ -32,21 +41,28 @@
 }
 
 #[rstest]
-#[case::none(Case { fields: &[("Answer-Stamp", "1")], wanted: NONE })]
-#[case::rate_limit(Case { fields: &[("Server-Limit", "21.9")], wanted: rate_limit(21.9) })]
-#[case::rate_limit_in_lower_case(Case { fields: &[("server-limit", " 3 ")], wanted: rate_limit(3.0) })]
-#[case::rate_limit_of_zero(Case { fields: &[("Server-Limit", "0")], wanted: rate_limit(0.0) })]
-#[case::negative_rate_limit(Case { fields: &[("Server-Limit", "-1")], wanted: INVALID })]
-#[case::infinite_rate_limit(Case { fields: &[("Server-Limit", "inf")], wanted: INVALID })]
-#[case::rate_limit_that_is_no_number(Case { fields: &[("Server-Limit", "NaN")], wanted: INVALID })]
-#[case::rate_limit_in_words(Case { fields: &[("Server-Limit", "few")], wanted: INVALID })]
-#[case::leaving(Case { fields: &[("Server-Leaving", "1")], wanted: LEAVING })]
-#[case::not_leaving(Case { fields: &[("Server-Leaving", "0")], wanted: NONE })]
-#[case::leaving_in_words(Case { fields: &[("Server-Leaving", "soon")], wanted: INVALID })]
+#[case::none(Case { status: 200, fields: &[("Answer-Stamp", "1")], wanted: NONE })]
+#[case::rate_limit(Case { status: 200, fields: &[("Server-Limit", "21.9")], wanted: rate_limit(21.9) })]
+#[case::rate_limit_in_lower_case(Case { status: 200, fields: &[("server-limit", " 3 ")], wanted: rate_limit(3.0) })]
+#[case::rate_limit_of_zero(Case { status: 200, fields: &[("Server-Limit", "0")], wanted: rate_limit(0.0) })]
+#[case::negative_rate_limit(Case { status: 200, fields: &[("Server-Limit", "-1")], wanted: INVALID })]
+#[case::infinite_rate_limit(Case { status: 200, fields: &[("Server-Limit", "inf")], wanted: INVALID })]
+#[case::rate_limit_that_is_no_number(Case { status: 200, fields: &[("Server-Limit", "NaN")], wanted: INVALID })]
+#[case::rate_limit_in_words(Case { status: 200, fields: &[("Server-Limit", "few")], wanted: INVALID })]
+#[case::leaving(Case { status: 200, fields: &[("Server-Leaving", "1")], wanted: LEAVING })]
+#[case::not_leaving(Case { status: 200, fields: &[("Server-Leaving", "0")], wanted: NONE })]
+#[case::leaving_in_words(Case { status: 200, fields: &[("Server-Leaving", "soon")], wanted: INVALID })]
 #[case::leaving_and_limited(Case {
-    fields: &[("Server-Leaving", "1"), ("Server-Limit", "2")],
+    status: 200, fields: &[("Server-Leaving", "1"), ("Server-Limit", "2")],
     wanted: UpstreamSignals { leaving: true, ..rate_limit(2.0) },
 })]
+#[case::pause(Case { status: 503, fields: &[("Retry-After", "1.5")], wanted: pause(Span::from_millis(1_500)) })]
+#[case::pause_without_refusal(Case { status: 200, fields: &[("Retry-After", "1.5")], wanted: NONE })]
+#[case::pause_of_zero(Case { status: 503, fields: &[("Retry-After", "0")], wanted: pause(Span::ZERO) })]
+#[case::negative_pause(Case { status: 503, fields: &[("Retry-After", "-2")], wanted: INVALID })]
+#[case::endless_pause(Case { status: 503, fields: &[("Retry-After", "inf")], wanted: INVALID })]
+#[case::pause_until_a_date(Case { status: 503, fields: &[("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT")], wanted: INVALID })]
+#[case::absurdly_long_pause(Case { status: 503, fields: &[("Retry-After", "1e300")], wanted: pause(Span(u64::MAX)) })]
 fn signals_are_decoded_or_ignored(#[case] case: Case) {
     let headers: Vec<httparse::Header<'_>> = case
         .fields
@@ -56,5 +72,10 @@
             value: value.as_bytes(),
         })
         .collect();
-    assert_eq!(decode(&Fields::from(headers.as_slice())), case.wanted);
+    let head = ResponseHead {
+        status: case.status,
+        is_http10: false,
+        fields: Fields::from(headers.as_slice()),
+    };
+    assert_eq!(decode(&head), case.wanted);
 }
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -198,7 +198,7 @@
     let rate_changed = limits.note_rate(now, &upstream.name, sent_at, signals.rate_limit);
     drop(limits);
     let mut upstreams = engine.tables.upstreams.lock();
-    let begins_to_leave = upstreams.note_signals(now, upstream, signals);
+    let new = upstreams.note_signals(now, upstream, signals);
     drop(upstreams);
     let upstream = &upstream.name;
     if rate_changed && let Some(suppressed) = engine.may_log() {
@@ -211,7 +211,15 @@
             }
         }
     }
-    if begins_to_leave && let Some(suppressed) = engine.may_log() {
+    if new.leaves
+        && let Some(suppressed) = engine.may_log()
+    {
         tracing::info!(%upstream, left_out = suppressed, "an upstream says that it leaves");
     }
+    if new.pauses
+        && let Some(suppressed) = engine.may_log()
+    {
+        let pause = signals.pause.unwrap_or_default();
+        tracing::info!(%upstream, %pause, left_out = suppressed, "an upstream asks for a pause");
+    }
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -83,6 +83,7 @@
         };
         count("rate-limit", u64::from(signals.rate_limit.is_some()));
         count("leaving", u64::from(signals.leaving));
+        count("pause", u64::from(signals.pause.is_some()));
         count("invalid", u64::from(signals.invalid));
     }
 
--- a/src/process/stated_availability.rs
+++ b/src/process/stated_availability.rs
@@ -6,10 +6,14 @@
 /// once more, so that a wrong statement does not lose it for good.
 const LEAVING_TTL: Span = Span::from_secs(600);
 
+/// A longer pause is cut to this, so that a wrong statement does not lose an upstream for good.
+const MAX_PAUSE: Span = Span::from_secs(60);
+
 /// What one upstream said of its availability.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StatedAvailability {
     leaving_until: Timestamp,
+    paused_until: Timestamp,
 }
 
 impl StatedAvailability {
@@ -22,4 +26,19 @@
     pub(super) fn is_leaving(self, now: Timestamp) -> bool {
         now < self.leaving_until
     }
+
+    /// Records that the upstream wants no legs for a while. Returns until when it gets none.
+    pub(super) fn pause(&mut self, now: Timestamp, pause: Span) -> Timestamp {
+        self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
+        self.paused_until
+    }
+
+    pub(super) fn is_paused(self, now: Timestamp) -> bool {
+        now < self.paused_until
+    }
+
+    /// Returns when it takes the next leg; `None` if it leaves.
+    pub(super) fn room_at(self, now: Timestamp) -> Option<Timestamp> {
+        (!self.is_leaving(now)).then_some(self.paused_until.max(now))
+    }
 }
--- a/src/process/upstream_notes.rs
+++ b/src/process/upstream_notes.rs
@@ -7,6 +7,13 @@
 /// Limits the silent upstreams that wait to be reported to other instances.
 const MAX_SILENT: usize = 256;
 
+/// What an upstream says of itself that it did not say before.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct NewStatement {
+    pub(crate) leaves: bool,
+    pub(crate) pauses: bool,
+}
+
 impl Upstreams {
     /// Records that an upstream replied, even if the leg was cancelled.
     pub fn note_reply(&mut self, now: Timestamp, name: &UpstreamName) {
@@ -47,22 +54,29 @@
         self.stats_mut(now, spec).note_snapshot_gone(now, snapshot);
     }
 
-    /// Records what an upstream said of itself. Returns whether it says for the first time
-    /// that it leaves.
+    /// Records what an upstream said of itself. Returns what it says newly.
     pub(crate) fn note_signals(
         &mut self,
         now: Timestamp,
         spec: &UpstreamSpec,
         signals: UpstreamSignals,
-    ) -> bool {
-        if !signals.leaving {
-            return false;
+    ) -> NewStatement {
+        let mut new = NewStatement::default();
+        if !signals.leaving && signals.pause.is_none() {
+            return new;
         }
         let stated = &mut self.stats_mut(now, spec).stated;
-        let begins = !stated.is_leaving(now);
-        let until = stated.leave(now);
+        let mut until = Timestamp::default();
+        if signals.leaving {
+            new.leaves = !stated.is_leaving(now);
+            until = stated.leave(now);
+        }
+        if let Some(pause) = signals.pause {
+            new.pauses = !stated.is_paused(now);
+            until = until.max(stated.pause(now, pause));
+        }
         self.stated_until = self.stated_until.max(until);
-        begins
+        new
     }
 
     /// Whether what any upstream said of its availability still holds.
@@ -78,10 +92,10 @@
         limits: &Limits,
         name: &UpstreamName,
     ) -> Option<Timestamp> {
-        let stats = self.by_name.get(name);
-        if stats.is_some_and(|stats| stats.stated.is_leaving(now)) {
-            return None;
+        let rate_room = limits.rate_room_at(now, name);
+        match self.by_name.get(name) {
+            Some(stats) => Some(stats.stated.room_at(now)?.max(rate_room)),
+            None => Some(rate_room),
         }
-        Some(limits.rate_room_at(now, name))
     }
 }
--- a/src/process/upstream_signals.rs
+++ b/src/process/upstream_signals.rs
@@ -4,7 +4,7 @@
 //! as the reply. See `docs/DESIGN.md`, "What upstreams say of themselves".
 
 use crate::request::{LegFailure, LegReply};
-use crate::types::PerSecond;
+use crate::types::{PerSecond, Span};
 
 /// What an upstream said of itself in one reply.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -13,6 +13,8 @@
     pub(crate) rate_limit: Option<PerSecond>,
     /// Whether it leaves, and takes no new requests.
     pub(crate) leaving: bool,
+    /// How long it wants no requests from this instance, when it turned one away.
+    pub(crate) pause: Option<Span>,
     /// How many of the signals could not be decoded.
     pub(crate) invalid: u32,
 }
--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -168,14 +168,18 @@
         self.gone_snapshots[at] = Some((snapshot, now + GONE_SNAPSHOT_TTL));
     }
 
-    /// The end of the backoff after it shed a leg or had no free connection.
-    pub(super) fn backoff_until(&self) -> Timestamp {
-        self.backoff_until
+    /// The end of the backoff after it shed a leg or had no free connection, and of the pause
+    /// that it asked for.
+    pub(super) fn backoff_until(&self, now: Timestamp) -> Timestamp {
+        let stated = self.stated.room_at(now).unwrap_or(now);
+        self.backoff_until.max(stated)
     }
 
     pub(super) fn readiness(&self, now: Timestamp, rng: &mut SmallRng) -> Readiness {
         let probe_in_flight = self.consecutive_failures > 0 && self.in_flight > 0;
-        if now < self.avoid_until.max(self.silent_until) || probe_in_flight {
+        let is_avoided = now < self.avoid_until.max(self.silent_until);
+        // While one replica wants a pause, any other that has room is better.
+        if is_avoided || probe_in_flight || self.stated.is_paused(now) {
             return Readiness::Avoided;
         }
         let slow_start_share = self.slow_start_share(now);
--- a/src/process/upstreams.rs
+++ b/src/process/upstreams.rs
@@ -80,7 +80,7 @@
             if tried || spec.leaving || stats.is_excluded(now, request.snapshot) {
                 continue;
             }
-            let room_at = limits.room_at(now, spec).max(stats.backoff_until());
+            let room_at = limits.room_at(now, spec).max(stats.backoff_until(now));
             let readiness = stats.readiness(now, rng);
             let cost = stats.cost_micros(now, stats.expected_micros(now).max(min_latency));
             candidates.add(
--- a/src/request/stated_room_tests.rs
+++ b/src/request/stated_room_tests.rs
@@ -116,6 +116,54 @@
     }
 }
 
+struct PauseCase {
+    /// How many replicas of the only shard want a pause, and for how long.
+    paused: u32,
+    pause: Span,
+    /// How long after the statement a query starts.
+    after: Span,
+    /// The legs that are sent at once, or the time that the refusal names at least.
+    wanted: Result<usize, Span>,
+}
+
+/// A replica that wants a pause gets one; if all do, callers are told when it is over.
+#[rstest]
+#[case::another_replica(PauseCase { paused: 1, pause: Span::from_secs(2), after: Span::ZERO, wanted: Ok(1) })]
+#[case::all_of_them(PauseCase { paused: 2, pause: Span::from_secs(2), after: Span::ZERO, wanted: Err(Span::from_secs(2)) })]
+#[case::shortly_before_its_end(PauseCase { paused: 2, pause: Span::from_secs(2), after: Span::from_millis(1_999), wanted: Err(Span::from_millis(1)) })]
+#[case::over(PauseCase { paused: 2, pause: Span::from_secs(2), after: Span::from_secs(2), wanted: Ok(1) })]
+#[case::absurdly_long(PauseCase { paused: 2, pause: Span(u64::MAX), after: Span::from_secs(60), wanted: Ok(1) })]
+fn no_leg_goes_to_a_replica_that_wants_a_pause(#[case] case: PauseCase) {
+    let mut harness = Harness::new(Setup {
+        shards: 1,
+        ..Setup::default()
+    });
+    let signals = UpstreamSignals {
+        pause: Some(case.pause),
+        ..UpstreamSignals::default()
+    };
+    for replica in 0..case.paused {
+        let upstream = upstream(&format!("s0r{replica}"), 100);
+        let now = harness.now;
+        harness.upstreams.note_signals(now, &upstream, signals);
+    }
+    harness.now = harness.now + case.after;
+    harness.next_query();
+    match case.wanted {
+        Ok(legs) => {
+            assert_eq!(harness.sent.len(), legs);
+            if case.paused == 1 {
+                assert_eq!(harness.sent[0].upstream.name.as_str(), "s0r1");
+            }
+        }
+        Err(retry_after) => {
+            assert_eq!(harness.sent.len(), 0);
+            assert_eq!(harness.refusal().kind, ErrorKind::Overloaded);
+            assert!(harness.refusal().retry_after.unwrap() >= retry_after);
+        }
+    }
+}
+
 /// A query refused for want of room takes none of it, so that each round serves one whole.
 #[test]
 fn a_share_of_the_queries_is_answered_whole() {
