--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -115,7 +115,7 @@
     let cases = [
         BrokenHead {
             name: "with a length",
-            response: b"HTTP/1.1 200 OK\r\nAnswer-Stamp: 3e1b\r\nContent-Length: 0\r\n\r\n",
+            response: b"HTTP/1.1 200 OK\r\nProof: 3e1b\r\nContent-Length: 0\r\n\r\n",
         },
         BrokenHead {
             name: "chunked",
@@ -123,7 +123,7 @@
         },
         BrokenHead {
             name: "until close",
-            response: b"HTTP/1.1 200 OK\r\nAnswer-Stamp: 3e1b\r\n\r\n",
+            response: b"HTTP/1.1 200 OK\r\nProof: 3e1b\r\n\r\n",
         },
     ];
     for case in cases {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -66,7 +66,7 @@
 pub(crate) use http1::{Http1Conn, HttpError};
 pub(crate) use http1_head::{Fields, RequestHead, ResponseHead, is_hop_by_hop};
 #[cfg(test)]
-pub(crate) use http1_samples::sent;
+pub(crate) use http1_samples::{response_head, sent};
 pub(crate) use links::Links;
 pub(crate) use peer::Peers;
 pub(crate) use peer_server::{PeerRequestHandler, accept as accept_peers};
--- a/src/platform/reply_tests.rs
+++ b/src/platform/reply_tests.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use super::validate;
-use crate::connection::{Fields, ResponseHead};
+use crate::connection::response_head;
 use crate::error::Ran;
 use crate::request::LegFailure;
 
@@ -29,19 +29,7 @@
 #[case::address_of_another_replica(Case { status: 421, fields: &[("Instance-Id", "i-2")], wanted: Err(LegFailure::Draining) })]
 #[case::interim(Case { status: 100, fields: &[PROOF_FIELD], wanted: Err(LegFailure::Mangled) })]
 fn responses_are_validated(#[case] case: Case) {
-    let headers: Vec<httparse::Header<'_>> = case
-        .fields
-        .iter()
-        .map(|(name, value)| httparse::Header {
-            name,
-            value: value.as_bytes(),
-        })
-        .collect();
-    let head = ResponseHead {
-        status: case.status,
-        is_http10: false,
-        fields: Fields::from(headers.as_slice()),
-    };
+    let head = response_head(case.status, case.fields);
     let validated = validate(&head, "9c").map(|head| head.status);
     assert_eq!(validated, case.wanted);
     if let Err(failure) = validated {
--- a/src/platform/signals_tests.rs
+++ b/src/platform/signals_tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::decode;
-use crate::connection::{Fields, ResponseHead};
+use crate::connection::response_head;
 use crate::process::UpstreamSignals;
 use crate::types::{PerSecond, Span};
 
@@ -64,18 +64,6 @@
 #[case::pause_until_a_date(Case { status: 503, fields: &[("Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT")], wanted: INVALID })]
 #[case::absurdly_long_pause(Case { status: 503, fields: &[("Retry-After", "1e300")], wanted: pause(Span(u64::MAX)) })]
 fn signals_are_decoded_or_ignored(#[case] case: Case) {
-    let headers: Vec<httparse::Header<'_>> = case
-        .fields
-        .iter()
-        .map(|(name, value)| httparse::Header {
-            name,
-            value: value.as_bytes(),
-        })
-        .collect();
-    let head = ResponseHead {
-        status: case.status,
-        is_http10: false,
-        fields: Fields::from(headers.as_slice()),
-    };
+    let head = response_head(case.status, case.fields);
     assert_eq!(decode(&head), case.wanted);
 }
