Let replicas of the soak state limits, leave and ask for pauses

The soak's faults gain the three signals. A replica that says it leaves is replaced by a later incarnation when the fault ends.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -77,6 +77,9 @@
         ReplicaMode::DuplicatesResponses,
         ReplicaMode::Truncates,
         ReplicaMode::Fails,
+        ReplicaMode::StatesRateLimit,
+        ReplicaMode::SaysItLeaves,
+        ReplicaMode::AsksForPause,
     ];
     let store_modes = [
         StoreMode::Silent,
@@ -128,8 +131,10 @@
     }
 }
 
-fn clear(deployment: &mut Deployment, fault: Fault) {
+async fn clear(deployment: &mut Deployment, fault: Fault) {
     match fault {
+        // A process that says it leaves does not stay; its successor starts.
+        Fault::ReplicaBehaviour(at, ReplicaMode::SaysItLeaves) => deployment.crash(at).await,
         Fault::ReplicaBehaviour(at, _) => deployment.replicas[at]
             .replica
             .set_mode(ReplicaMode::Normal),
@@ -192,11 +197,11 @@
         sleep(STEP_INTERVAL).await;
         let expired = active_faults.extract_if(.., |(until, _)| *until <= step);
         for (_, fault) in expired.collect::<Vec<_>>() {
-            clear(&mut deployment, fault);
+            clear(&mut deployment, fault).await;
         }
     }
     for (_, fault) in active_faults {
-        clear(&mut deployment, fault);
+        clear(&mut deployment, fault).await;
     }
     let mut violations = await_recovery(&mut deployment, seed).await;
     observations.stop.store(true, Ordering::Relaxed);
