Say in the log when updates were never confirmed

The line about an avoided instance showed an age of 0 s for updates that the store never confirmed, which misled while the LIMIT test was traced. It now shows none.

--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -195,8 +195,8 @@
             (false, false) => UpdateOutcome::Applied,
         };
         if outcome != UpdateOutcome::Applied {
-            let age = updates.age.unwrap_or_default();
-            tracing::info!(%addr, ?outcome, %age, "avoids an instance because of its updates");
+            let age = updates.age;
+            tracing::info!(%addr, ?outcome, ?age, "avoids an instance because of its updates");
             fleet.avoid(now, addr);
         }
         node.engine.metrics.members.updated(outcome, bytes);
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -12,7 +12,6 @@
 const MEDIAN_QUANTILE: f64 = 0.5;
 /// Share of the queries that are expected to miss their deadline but are admitted anyway.
 const PROBE_RATIO: f64 = 1.0 / 16.0;
-
 /// The least time over which refused callers are told to spread their return.
 const MIN_RETRY_SPREAD: Span = Span::from_millis(100);
 
