Cut the stand-in upstream's connections at once

Cause: the stand-in's cut only asked the connection's task to end. On another thread the task could still send a reset of the stream, or a reply, which a crashed process does not. The sockets are now shut down first. The tests are unchanged.

--- a/tests/standin/upstream.rs
+++ b/tests/standin/upstream.rs
@@ -1,7 +1,7 @@
 //! A simulated upstream that runs legs over HTTP/2, with a limited number of slots, a service
 //! time and injectable faults.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
@@ -207,6 +207,8 @@
 
     pub(super) fn cut(&self) {
         for connection in self.connections.lock().drain(..) {
+            // The task ends later than this returns, and must not send anything until then.
+            connection.stream.shutdown(Shutdown::Both).ok();
             connection.abort.abort();
         }
     }
