Give the instances of each soak deployment a key of their own

All deployments shared one key since the last change of it, and ports are taken that were free a moment ago, so an instance that starts again can meet, or be, an instance of the other deployment.

--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -87,7 +87,8 @@
                 .map(|seed| addrs[seed * 4 + 2].to_string())
                 .collect();
             let own_addrs = &addrs[at * 4..at * 4 + 4];
-            let settings = settings(at, own_addrs, &seeds, proxy.addr);
+            let key = format!("the instances of {name} in process {}", std::process::id());
+            let settings = settings(at, own_addrs, &seeds, proxy.addr, &key);
             let path = std::env::temp_dir().join(format!(
                 "hyssopwalk-soak-{}-{name}-{at}.json",
                 std::process::id()
@@ -227,7 +228,13 @@
     }
 }
 
-fn settings(at: usize, own_addrs: &[SocketAddr], seeds: &[String], store: SocketAddr) -> Value {
+fn settings(
+    at: usize,
+    own_addrs: &[SocketAddr],
+    seeds: &[String],
+    store: SocketAddr,
+    peer_key: &str,
+) -> Value {
     json!({
         "node_name": format!("front-{at}"), "zone": "suva-a", "region": "central",
         "listen": {
@@ -240,8 +247,9 @@
         },
         "platform": {"address": store},
         // Each instance has a proxy to the store of its own, so a key derived from the store's
-        // address would differ between them.
-        "peer_key": "the instances of this soak",
+        // address would differ between them. Deployments that run at the same time must not share
+        // one: the port of a stopped instance may be taken by an instance of another deployment.
+        "peer_key": peer_key,
     })
 }
 
