Give each test deployment a loopback address of its own

Only the listeners for addresses and readiness answer so, and the test's instance never got these requests: the port had been given to another deployment that started at the same time. Ports were chosen while free, and bound later or again after a kill.

The instances of a deployment now listen on a loopback address of its own. Bounds and checks are unchanged.

--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::Mutex;
 use rustix::process::{Pid, Signal, kill_process};
@@ -253,12 +254,20 @@
     })
 }
 
-/// Returns distinct loopback addresses whose ports were free a moment ago.
-///
-/// All listeners are open at the same time, so that no port is returned twice.
+/// Returns addresses whose ports were free a moment ago, on a loopback IP address that no other
+/// deployment uses. On a shared one, the port of an instance that has not started yet, or that was
+/// killed, may be given to another deployment.
 fn free_addrs(count: usize) -> Vec<SocketAddr> {
+    static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
+    let pid = std::process::id().to_le_bytes();
+    let ip = [
+        127,
+        pid[0].max(1),
+        pid[1].max(1),
+        DEPLOYMENTS.fetch_add(1, Ordering::Relaxed).max(1),
+    ];
     let listeners: Vec<std::net::TcpListener> = (0..count)
-        .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
+        .map(|_| std::net::TcpListener::bind((std::net::IpAddr::from(ip), 0)).expect("a free port"))
         .collect();
     let addr = |listener: &std::net::TcpListener| listener.local_addr().expect("a bound address");
     listeners.iter().map(addr).collect()
