--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -51,9 +51,9 @@
     /// The peer did not prove that it has one of this instance's keys.
     #[error("the peer did not prove that it has a shared key")]
     Unauthenticated,
-    /// The reply was not complete within the timeout. The number of bytes tells a peer that
-    /// does not reply from one whose reply is too long for its link.
-    #[error("no complete reply within the timeout, {0} bytes of it received")]
+    /// The reply did not begin, or stopped arriving, for the length of the timeout. The number of
+    /// bytes tells which.
+    #[error("no reply, or no more of it, within the timeout; {0} bytes received")]
     Timeout(usize),
 }
 
--- a/src/process/candidates.rs
+++ b/src/process/candidates.rs
@@ -19,7 +19,7 @@
     Ready,
     /// It is in slow start, and this leg would exceed its share.
     Ramping,
-    /// It failed recently; used only as a last resort.
+    /// It failed recently or asked for a pause; used only as a last resort.
     Avoided,
 }
 
--- a/src/process/fleet/apply.rs
+++ b/src/process/fleet/apply.rs
@@ -114,8 +114,8 @@
         !self.object_cache.lock().has_incoming()
     }
 
-    /// Records that the sender of updates had matched the store's state `age` ago. The
-    /// first time, only an instance that has everything the sender has may rely on it.
+    /// Records that the sender of updates matched the store's state `age` ago. This does not
+    /// initialize an instance that lacks a part of what the sender has.
     pub(super) fn confirm(&self, age: Span, has_everything: bool) {
         let now = self.clock.now();
         {
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -14,9 +14,10 @@
 use crate::types::{ByteCount, ObjectVersion};
 
 /// Values that are larger than this are sent in parts.
-const MAX_WHOLE: usize = 16 << 10;
-/// The platform's values have at most a megabyte.
-const MAX_VALUE: u64 = 4 << 20;
+const MAX_WHOLE_BYTES: usize = 16 << 10;
+/// An object that is announced with a larger value is not requested. The platform's values have
+/// at most a megabyte.
+const MAX_VALUE_BYTES: u64 = 4 << 20;
 
 /// An object whose value is sent in parts.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,7 +63,7 @@
         let EntryState::Present(value) = &entry.state else {
             return None;
         };
-        (value.len() > MAX_WHOLE).then(|| Self {
+        (value.len() > MAX_WHOLE_BYTES).then(|| Self {
             key: entry.key.clone(),
             version: entry.version,
             size: ByteCount(value.len() as u64),
@@ -101,7 +102,7 @@
     pub(super) fn announce(&mut self, object: LargeObject) {
         let known = self.by_key.get(&object.key);
         let is_new = known.is_none_or(|known| object.version > known.object.version);
-        if object.size.0 > MAX_VALUE {
+        if object.size.0 > MAX_VALUE_BYTES {
             tracing::warn!(key = %object.key, size = %object.size, "an announced object is too large");
         } else if is_new {
             self.begin(object);
@@ -119,11 +120,11 @@
     /// Adds a part. Returns the object's entry when its value is complete.
     pub(super) fn add(&mut self, part: &ObjectPart) -> Option<Entry> {
         let known = self.by_key.get(&part.object.key)?;
-        // Values of one version that differ in size come from different encoders.
+        // The sender may hold a later version than the one that was announced.
         let replaces = part.offset == ByteCount(0)
             && part.object.version >= known.object.version
             && part.object != known.object
-            && part.object.size.0 <= MAX_VALUE;
+            && part.object.size.0 <= MAX_VALUE_BYTES;
         if replaces {
             self.begin(part.object.clone());
         }
--- a/tests/upstream_signals.rs
+++ b/tests/upstream_signals.rs
@@ -30,7 +30,7 @@
 const CALLERS: usize = 4;
 /// The time that instances have to start and to hear the signal.
 const SETTLE: Duration = Duration::from_secs(2);
-/// The span of the rule, and what it allows beyond the limit.
+/// The span in which requests are counted, and how many of them the limit allows.
 const WINDOW: Duration = Duration::from_secs(4);
 const WINDOW_SECS: u32 = 4;
 const ALLOWED: usize = (RATE_LIMIT * WINDOW_SECS) as usize * 3 / 2 + 5;
@@ -97,7 +97,7 @@
 #[case::retries_of_failed_legs(Case { replicas: SINGLE, other: ReplicaMode::Fails })]
 #[case::both_want_a_pause(Case { replicas: GATHERED, other: ReplicaMode::AsksForPause })]
 fn an_upstream_that_wants_a_pause_gets_one(#[case] case: Case) {
-    // The rule holds for each instance, and the replica cannot tell them apart.
+    // The pause is meant for one instance, and the replica cannot tell them apart.
     let (from, arrivals) = run(&case, ReplicaMode::AsksForPause, 1);
     for answered in &arrivals {
         let pause = *answered + PAUSE_GRACE..*answered + PAUSE;
