--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -31,6 +31,7 @@
     connections: 25,
     connect_ms: 6,
     repeatable: true,
+    latency: "170ms",
 };
 const LATENCY_TARGET: Duration = Duration::from_millis(170);
 const QUERY_INTERVAL: Duration = Duration::from_millis(25);
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -131,6 +131,19 @@
         proxied.replica = replica;
     }
 
+    /// Closes the connections and listeners of replicas and proxies, which would otherwise stay
+    /// open until the test process ends.
+    pub(crate) async fn close(mut self) {
+        for proxied in &mut self.replicas {
+            proxied.replica.crash().await;
+            proxied.proxy.stop().await;
+        }
+        for instance in &mut self.instances {
+            instance.kill();
+            instance.store.stop().await;
+        }
+    }
+
     /// Publishes a newer configuration that uses the other set of shards.
     pub(crate) fn change_config(&mut self) {
         self.version += 3;
