Cut off no request in a planned stop

Cause: nothing asked the shutdown whether a request may begin. Requests on kept connections went on being passed on until the process exited at the end of the grace period and cut them. A second SIGTERM aborted everything, closing the listener reset the connections in its backlog, and a request counted as in flight only once it was read whole. Beside it, one failed accept ended the task that accepts other instances, so that none could reach the process any more.

Ruled out: the replicas (they answered), the platform's SIGKILL (the process exited by itself after 5.32 s of 6 s).

Change: a request begins only if it ends before the process does, by what is known of its class, or by its whole timeout if it may not be repeated; the rest is refused as stopping, not run. Requests in flight 200 ms before the end are answered as at their deadline. One loop accepts connections for callers, operators and instances.

No test makes an accept fail: that needs a process without descriptors.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -17,11 +17,11 @@
 mod query;
 mod serve;
 mod status;
+mod stop;
 mod table;
 mod token;
 
-pub(crate) use serve::{
-    bind, listen_for_signals, log_to_stdout, run_until_stopped, set_io_threads,
-};
+pub(crate) use serve::{bind, log_to_stdout, set_io_threads};
+pub(crate) use stop::{Accepting, listen_for_signals, run_node_until_stopped};
 
 pub use args::{Cmd, LoadArgs, ServeArgs};
--- a/src/connection/caller.rs
+++ b/src/connection/caller.rs
@@ -74,9 +74,6 @@
 
 /// Serves a caller until either side closes the connection.
 pub(super) async fn serve(app: tide::Server<Cx>, limiter: ConnectionLimiter, stream: TcpStream) {
-    if let Err(error) = stream.set_nodelay(true) {
-        tracing::debug!(%error, "could not set TCP_NODELAY");
-    }
     let Some(_permit) = limiter.try_acquire() else {
         let refusal = Refusal::new(ErrorKind::Overloaded, "too many callers are connected");
         refuse_and_close(stream, &refusal).await;
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -24,6 +24,7 @@
 mod http1_samples;
 mod leg_wire;
 mod links;
+mod listener;
 mod operator_api;
 mod operator_wire;
 mod peer;
@@ -68,6 +69,7 @@
 #[cfg(test)]
 pub(crate) use http1_samples::{response_head, sent};
 pub(crate) use links::Links;
+pub(crate) use listener::{serve_each, serve_until};
 pub(crate) use peer::Peers;
 pub(crate) use peer_server::{PeerRequestHandler, accept as accept_peers};
 
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -13,6 +13,7 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use super::listener::serve_each;
 use super::peer::{self, HELLO_PATH, PROOF_PATH, REQUEST_PATH};
 use super::peer_auth::{self, Side, Transcript};
 use super::peer_wire::{
@@ -52,22 +53,12 @@
 type SharedAuthState = Arc<Ranked<AuthState>>;
 type HandlerResult = Result<Vec<u8>, StatusCode>;
 
-/// Accepts connections until the listener fails.
-///
-/// # Errors
-/// If the listener cannot accept connections any more.
-pub(crate) async fn accept(
-    handler: Arc<impl PeerRequestHandler>,
-    listener: TcpListener,
-) -> std::io::Result<()> {
-    loop {
-        let (stream, _) = listener.accept().await?;
-        async_std::task::spawn(serve(Arc::clone(&handler), stream));
-    }
+/// Accepts connections until the process ends.
+pub(crate) async fn accept(handler: Arc<impl PeerRequestHandler>, listener: TcpListener) {
+    serve_each(listener, |stream| serve(Arc::clone(&handler), stream)).await;
 }
 
 async fn serve(handler: Arc<impl PeerRequestHandler>, stream: TcpStream) {
-    stream.set_nodelay(true).ok();
     let handshake = server::Builder::new()
         .max_concurrent_streams(MAX_STREAMS)
         .handshake::<_, Bytes>(stream.compat());
--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -137,7 +137,9 @@
 /// Returns the time after which the same request may succeed, if it can be estimated.
 fn retry_after(kind: ErrorKind) -> Option<Span> {
     match kind {
-        ErrorKind::NoSnapshot | ErrorKind::Stopping => Some(CONFIGURATION_RETRY_DELAY),
+        ErrorKind::NoSnapshot => Some(CONFIGURATION_RETRY_DELAY),
+        // Another instance can serve it at once.
+        ErrorKind::Stopping => Some(Span::ZERO),
         ErrorKind::NoUpstream => Some(REPLICA_RETRY_DELAY),
         ErrorKind::Overloaded | ErrorKind::CannotFinish => Some(OVERLOAD_RETRY_DELAY),
         ErrorKind::Poison => Some(POISON_RETRY_DELAY),
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -13,7 +13,9 @@
 use super::settings::{self, SettingsWire};
 use super::store::ObjectStore;
 use super::{directory, front, reload};
-use crate::cmd::{bind, listen_for_signals, log_to_stdout, run_until_stopped, set_io_threads};
+use crate::cmd::{
+    Accepting, bind, listen_for_signals, log_to_stdout, run_node_until_stopped, set_io_threads,
+};
 use crate::connection;
 use crate::process::{CallRates, Clock, Engine, Node, NodeSettings, Workers};
 
@@ -80,11 +82,12 @@
     if let Some(metrics_listener) = metrics_listener {
         spawn(directory::accept(Arc::clone(&node), metrics_listener));
     }
-    let accepting = spawn(front::accept(Arc::clone(&node), caller_listener));
+    let accepting =
+        Accepting::start(|stopped| front::accept(Arc::clone(&node), caller_listener, stopped));
     spawn(reload::watch_settings(
         Arc::clone(&node),
         path,
         reload_signals,
     ));
-    run_until_stopped(&node, stop_signals, accepting).await
+    run_node_until_stopped(&node, stop_signals, accepting).await
 }
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -9,8 +9,7 @@
 use serde::Serialize;
 
 use super::answer::Response;
-use super::tcp;
-use crate::connection::Http1Conn;
+use crate::connection::{Http1Conn, serve_each};
 use crate::process::{CallerLocation, Node};
 use crate::types::Span;
 
@@ -34,7 +33,7 @@
 
 /// Accepts connections until the process ends.
 pub(super) async fn accept(node: Arc<Node>, listener: TcpListener) {
-    tcp::accept(listener, |stream| serve(Arc::clone(&node), stream)).await;
+    serve_each(listener, |stream| serve(Arc::clone(&node), stream)).await;
 }
 
 async fn serve(node: Arc<Node>, stream: TcpStream) {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -8,8 +8,7 @@
 
 use super::answer;
 use super::payload::{self, DEADLINE, REQUEST_ID};
-use super::tcp;
-use crate::connection::{DisconnectWatch, Http1Conn, HttpError, RequestHead};
+use crate::connection::{DisconnectWatch, Http1Conn, HttpError, RequestHead, serve_until};
 use crate::error::{ErrorKind, Refusal};
 use crate::process::{Engine, Node, RouteRequest, RouteResponse};
 use crate::types::{Fingerprint, QueryId, Span};
@@ -26,9 +25,14 @@
     body: Vec<u8>,
 }
 
-/// Accepts callers' connections until the process ends.
-pub(super) async fn accept(node: Arc<Node>, listener: TcpListener) {
-    tcp::accept(listener, |stream| serve(Arc::clone(&node), stream)).await;
+/// Accepts callers' connections until `stopped` completes.
+pub(super) async fn accept(
+    node: Arc<Node>,
+    listener: TcpListener,
+    stopped: impl Future<Output = ()>,
+) {
+    let serve = |stream| serve(Arc::clone(&node), stream);
+    serve_until(listener, stopped, serve).await;
 }
 
 /// Serves one connection until either side closes it.
@@ -39,18 +43,8 @@
         if !wait_for_request(&mut conn, limits).await {
             return;
         }
-        let req = match read(&mut conn, limits).await {
-            Ok(Some(req)) => req,
-            Ok(None) => return,
-            Err(refusal) => {
-                let response = answer::refusal_response(&refusal, None);
-                write(&mut conn, &response.render(true)).await;
-                sleep(LINGER.as_duration()).await;
-                return;
-            }
-        };
         node.shutdown.lock().begin_request();
-        let keeps_open = handle(&node, &mut conn, req).await;
+        let keeps_open = serve_request(&node, &mut conn, limits).await;
         node.shutdown.lock().end_request();
         if !keeps_open {
             return;
@@ -58,6 +52,20 @@
     }
 }
 
+/// Reads and answers one request; returns whether the connection can serve another.
+async fn serve_request(node: &Arc<Node>, conn: &mut Http1Conn, limits: CallerLimits) -> bool {
+    match read(conn, limits).await {
+        Ok(Some(req)) => handle(node, conn, req).await,
+        Ok(None) => false,
+        Err(refusal) => {
+            let response = answer::refusal_response(&refusal, None);
+            write(conn, &response.render(true)).await;
+            sleep(LINGER.as_duration()).await;
+            false
+        }
+    }
+}
+
 /// Waits for the first byte of a request; returns false if none arrives within the idle timeout.
 async fn wait_for_request(conn: &mut Http1Conn, limits: CallerLimits) -> bool {
     let idle = limits.idle_timeout.as_duration();
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -26,6 +26,8 @@
     Wake(QueryId),
     /// The caller of a query disconnected.
     CallerGone(QueryId),
+    /// A query has to end now, because the process exits.
+    Expire(QueryId),
 }
 
 /// Runs one job.
@@ -36,6 +38,7 @@
         Job::Leg(id, leg, Err(failure)) => (id, Some(Event::Failure(leg, failure))),
         Job::Wake(id) => (id, Some(Event::Wake)),
         Job::CallerGone(id) => (id, Some(Event::CallerGone)),
+        Job::Expire(id) => (id, Some(Event::Expire)),
     };
     let Some(entry) = engine.tables.entry(id) else {
         return;
--- a/src/process/engine.rs
+++ b/src/process/engine.rs
@@ -15,8 +15,9 @@
 use super::timer::Timer;
 use super::{Clock, Job, LegResult, LogRate, Metrics, Rank, Ranked, pool};
 use crate::error::{ErrorKind, Refusal};
-use crate::request::{Answer, LegRequest, Query};
-use crate::types::{ConnectionCount, QueryId};
+use crate::request::{Answer, LegRequest, Query, time_needed};
+use crate::types::{ConnectionCount, QueryId, Span};
+use crate::version::Class;
 
 const JOB_QUEUE_CAPACITY: usize = 65_536;
 
@@ -116,6 +117,22 @@
         }
     }
 
+    /// Answers all queries in flight with what is there, as at their deadlines.
+    pub(crate) async fn end_queries(self: &Arc<Self>) {
+        let ids: Vec<QueryId> = self.tables.queries.lock().keys().copied().collect();
+        for id in ids {
+            if !self.submit(Job::Expire(id)).await {
+                return;
+            }
+        }
+    }
+
+    /// Returns how long a query of the class may take that is allowed to take `allowed`.
+    pub(crate) fn time_needed(&self, class: &Class, allowed: Span) -> Span {
+        let upstreams = self.tables.upstreams.lock();
+        time_needed(class, upstreams.class(&class.name), allowed)
+    }
+
     /// Whether a log line about a single request may be written now; if so, returns how
     /// many were suppressed since the last one.
     pub(crate) fn may_log(&self) -> Option<u64> {
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -127,7 +127,10 @@
         let time_left = req.time_left.unwrap_or(plan.route.timeout);
         let consumed = self.time_consumed(plan, time_left);
         let allowed = time_left.min(plan.route.timeout);
+        let needed = self.engine.time_needed(&plan.class, allowed);
+        let stops_at = self.shutdown.lock().admit(now, needed)?;
         let deadline = now + allowed - ANSWER_TRAVEL_TIME;
+        let deadline = stops_at.map_or(deadline, |stops_at| deadline.min(stops_at));
         if deadline <= now {
             return Err(Refusal::new(
                 ErrorKind::CannotFinish,
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -112,9 +112,10 @@
         self.check_learned()?;
         let started = self.clock.now();
         self.refuse_poison(&query_request, started)?;
+        let stops_at = self.check_stopping(&query_request, started)?;
         let admitted = self.admit(&query_request)?;
         let mut claim = self.claim(&query_request, started).await?;
-        let query = self.begin(query_request, started)?;
+        let query = self.begin(query_request, started, stops_at)?;
         if let Some(claim) = &mut claim {
             claim.begin();
         }
@@ -137,6 +138,19 @@
         ))
     }
 
+    /// Refuses a request that might not end before this instance stops, and returns when one that
+    /// begins has to end.
+    fn check_stopping(
+        &self,
+        query_request: &QueryRequest,
+        now: Timestamp,
+    ) -> Result<Option<Timestamp>, Refusal> {
+        let class = self.engine.tables.directory().class(&query_request.class)?;
+        let allowed = timeout(query_request, &class);
+        let needed = self.engine.time_needed(&class, allowed);
+        self.shutdown.lock().admit(now, needed)
+    }
+
     /// Claims an order for this attempt; a repeatable request needs no claim.
     async fn claim(
         &self,
@@ -153,11 +167,17 @@
         self.orders.claim(key, body, until).await.map(Some)
     }
 
-    fn begin(&self, query_request: QueryRequest, started: Timestamp) -> Result<Query, Refusal> {
+    fn begin(
+        &self,
+        query_request: QueryRequest,
+        started: Timestamp,
+        stops_at: Option<Timestamp>,
+    ) -> Result<Query, Refusal> {
         let directory = self.engine.tables.directory();
         let class = directory.class(&query_request.class)?;
         let snapshot = directory.newest_snapshot(&class.index)?;
         let deadline = started + timeout(&query_request, &class) - ANSWER_MARGIN;
+        let deadline = stops_at.map_or(deadline, |stops_at| deadline.min(stops_at));
         if self.clock.now() >= deadline {
             return Err(Refusal::new(
                 ErrorKind::CannotFinish,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -122,7 +122,7 @@
     CellDelta, Heartbeat, HeartbeatReply, PeerRequest, PeerResponse, SeenInstance,
 };
 pub(crate) use platform::{Backoff, CallBucket};
-pub(crate) use shutdown::{AbortedRequests, Shutdown, Step, StopTimes};
+pub(crate) use shutdown::{AbortedRequests, Shutdown, Step, StopSignal, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstream_signals::{LegResult, UpstreamSignals};
 pub(crate) use upstreams::UpstreamLoad;
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -6,15 +6,32 @@
 
 use super::{Context, hedge};
 use crate::error::{ErrorKind, Refusal};
+use crate::process::ClassLatency;
 use crate::types::{Ratio, Span, Timestamp};
 use crate::version::{Class, Shard, Snapshot};
 
 const MEDIAN_QUANTILE: f64 = 0.5;
+/// Almost no leg takes longer.
+const SLOW_QUANTILE: f64 = 0.99;
 /// Share of the queries that are expected to miss their deadline but are admitted anyway.
 const PROBE_RATIO: f64 = 1.0 / 16.0;
 /// The least time over which refused callers are told to spread their return.
 const MIN_RETRY_SPREAD: Span = Span::from_millis(100);
 
+/// Returns how long a query of the class may take that is allowed to take `allowed`. The answer to
+/// one that must not be repeated cannot be had again, so it may take all of that.
+pub(crate) fn time_needed(class: &Class, latency: Option<&ClassLatency>, allowed: Span) -> Span {
+    if !class.targets.repeatable {
+        return allowed;
+    }
+    let known = latency.and_then(|latency| {
+        let wait = latency.waits.quantile(SLOW_QUANTILE).unwrap_or(Span::ZERO);
+        let leg = latency.legs.quantile(SLOW_QUANTILE)?;
+        Some(Span(wait.0 + leg.0))
+    });
+    known.unwrap_or(class.targets.latency).min(allowed)
+}
+
 /// Admits a query unless so many of its shards have no replica that takes a leg now, by what
 /// the replicas state themselves, that the answer could not meet its coverage target. A query
 /// that begins without them would use up what others need, and get no answer itself.
--- a/src/request/context.rs
+++ b/src/request/context.rs
@@ -21,6 +21,8 @@
     Wake,
     /// The caller disconnected.
     CallerGone,
+    /// The query has to end now, as at its deadline.
+    Expire,
 }
 
 /// An output of the state machine of a query, for the worker to carry out.
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -44,6 +44,7 @@
 pub use options::QueryOptions;
 pub use query::Query;
 
+pub(crate) use admit::time_needed;
 pub(crate) use merge::merge_top_records;
 
 use std::sync::Arc;
--- a/src/request/query.rs
+++ b/src/request/query.rs
@@ -150,6 +150,7 @@
             Event::Failure(leg, failure) => self.on_failure(cx, leg, failure, &mut actions),
             Event::Wake => self.on_wake(cx, &mut actions),
             Event::CallerGone => self.finish(cx, None, &mut actions),
+            Event::Expire => self.deadline = self.deadline.min(cx.now),
         }
         self.advance(cx, &mut actions);
         actions
