Tell the late copy of a response from the next one

Cause: a response that did not name its request was taken for that of the request in flight. On a connection that had carried others it may be the late copy of an earlier one: an answer went to another caller, and a refusal said of a request that it had not run while it ran. Idle connections to the store were not checked for bytes that nobody asked for.

Ruled out: copies that name their request, that come with the response or while the connection is idle; these were told before (9 of the 13 cases passed).

Change: an answer without a name is used only on a new connection, which is then closed. After a refusal without a name, a connection carries only requests that may be repeated. An idle connection to the store on which something arrived is closed. The pool is a file of its own.

Evidence: replicas_tests.rs over sockets, 13 cases; with the old rules put back 4 fail (unnamed_before_the_next, unnamed_in_chunks, refusal_before_an_order, misdirected_before_an_order). Open: a copy that reaches a connection to the store after the next call was sent cannot be told, since its responses name no call.

--- a/examples/model/baseline.rs
+++ b/examples/model/baseline.rs
@@ -137,6 +137,7 @@
             snapshot: self.snapshot.id,
             shard: shard.id,
             range: shard.range,
+            repeatable: true,
             extra: None,
             time_left: self.deadline.since(now),
             body: Arc::from(&b""[..]),
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -9,6 +9,7 @@
 
 use async_std::net::TcpStream;
 use futures::io::{AsyncReadExt, AsyncWriteExt};
+use rustix::net::{RecvFlags, recv};
 
 use super::http1_head::{Fields, Framing, RequestHead, ResponseHead};
 
@@ -74,6 +75,16 @@
         !self.buf.is_empty()
     }
 
+    /// Whether the connection is open and nothing arrived on it: an idle one on which the other
+    /// side sent something carries a response to no request.
+    pub(crate) fn is_quiet(&self) -> bool {
+        let mut byte = [0; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let received = recv(&self.stream, &mut byte, flags);
+        !self.has_buffered_bytes()
+            && received.is_err_and(|error| error == rustix::io::Errno::WOULDBLOCK)
+    }
+
     /// Waits until there is a byte to read. Returns false if the connection was closed.
     ///
     /// # Errors
--- a/src/connection/http1_head.rs
+++ b/src/connection/http1_head.rs
@@ -49,6 +49,11 @@
             .filter_map(|value| std::str::from_utf8(value).ok())
     }
 
+    /// Whether there is a field of that name, whatever its value.
+    pub(crate) fn has(&self, name: &str) -> bool {
+        self.named(name).next().is_some()
+    }
+
     /// Whether a comma-separated field contains the token, such as `Connection: close`.
     pub(crate) fn has_token(&self, name: &str, token: &str) -> bool {
         let mut tokens = self.all(name).flat_map(|value| value.split(','));
--- a/src/connection/links_tests.rs
+++ b/src/connection/links_tests.rs
@@ -36,6 +36,7 @@
         snapshot: SnapshotId(1),
         shard: ShardId(0),
         range: "00000000-ffffffff".parse().unwrap(),
+        repeatable: true,
         extra: None,
         time_left,
         body: Arc::from(&b"{}"[..]),
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -11,6 +11,7 @@
 mod objects;
 mod payload;
 mod reload;
+mod replica_pool;
 mod replicas;
 mod reply;
 mod settings;
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -7,18 +7,15 @@
 use async_std::future::timeout;
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
-use rustix::net::{RecvFlags, recv};
 
 use super::payload::Payload;
-use super::{reply, signals, tcp};
-use crate::connection::{Http1Conn, HttpError, ResponseHead};
+use super::replica_pool::{Pool, PooledConn};
+use super::{reply, signals};
+use crate::connection::{HttpError, ResponseHead};
 use crate::process::{Clock, LegResult, LegTransport, Rank, Ranked, UpstreamSignals};
 use crate::request::{LegFailure, LegReply, LegRequest};
-use crate::types::{ConnectionCount, Span, Timestamp, UpstreamName};
+use crate::types::{ConnectionCount, Span, UpstreamName};
 
-/// The farthest replica is some tens of milliseconds away, and a connection that takes longer than
-/// this is too late for most legs.
-const CONNECT_TIMEOUT: Span = Span::from_millis(300);
 /// Extra wait after the time that the replica was given, in which its own timeout response may
 /// still arrive.
 const REPLY_SLACK: Span = Span::from_millis(40);
@@ -41,30 +38,6 @@
     pools: Ranked<IndexMap<UpstreamName, Arc<Pool>>>,
 }
 
-/// The connection pool of one replica.
-#[derive(Debug)]
-struct Pool {
-    addr: SocketAddr,
-    state: Ranked<PoolState>,
-}
-
-#[derive(Debug, Default)]
-struct PoolState {
-    in_use: u32,
-    idle: Vec<(Http1Conn, Timestamp)>,
-}
-
-/// A permit to use one connection to a replica, released on drop.
-#[derive(Debug)]
-struct Permit(Arc<Pool>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        let mut state = self.0.state.lock();
-        state.in_use = state.in_use.saturating_sub(1);
-    }
-}
-
 impl ReplicaTransport {
     pub(super) fn new(clock: Clock) -> Self {
         Self {
@@ -75,15 +48,14 @@
 
     fn pool(&self, name: &UpstreamName, addr: SocketAddr) -> Arc<Pool> {
         let mut pools = self.pools.lock();
-        if let Some(pool) = pools.get(name).filter(|pool| pool.addr == addr) {
+        if let Some(pool) = pools.get(name).filter(|pool| pool.addr() == addr) {
             return Arc::clone(pool);
         }
         if pools.len() >= PRUNE_THRESHOLD {
             let now = self.clock.now();
             pools.retain(|_, pool| Arc::strong_count(pool) > 1 || pool.has_idle(now));
         }
-        let state = Ranked::new(Rank::Link, PoolState::default());
-        let pool = Arc::new(Pool { addr, state });
+        let pool = Arc::new(Pool::new(addr));
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -100,7 +72,11 @@
         })?;
         let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
         let began = self.clock.now();
-        let (permit, mut conn) = pool.acquire(began, max_connections).await?;
+        let PooledConn {
+            permit,
+            mut conn,
+            history,
+        } = pool.acquire(began, max_connections, leg.repeatable).await?;
         let elapsed = self.clock.now().since(began);
         let left = Span(leg.time_left.0.saturating_sub(elapsed.0));
         if left == Span::ZERO {
@@ -119,9 +95,13 @@
         if reply::is_from_upstream(&head, payload.id) {
             *signals = Some(signals::decode(&head));
         }
-        let reply_head = reply::validate(&head, payload.id);
-        if !head.closes() && !conn.has_buffered_bytes() && reply_head != Err(LegFailure::Mangled) {
-            permit.return_connection(conn, self.clock.now() + keep_alive_time(&head));
+        let reply_head = reply::validate(&head, payload.id, history);
+        if !head.closes()
+            && !conn.has_buffered_bytes()
+            && let Some(history) = reply::history_after(history, &head, &reply_head)
+        {
+            let until = self.clock.now() + keep_alive_time(&head);
+            permit.return_connection(conn, until, history);
         }
         Ok(LegReply {
             query: leg.query,
@@ -150,64 +130,6 @@
     }
 }
 
-impl Pool {
-    fn has_idle(&self, now: Timestamp) -> bool {
-        let mut state = self.state.lock();
-        state.idle.retain(|(_, until)| *until > now);
-        !state.idle.is_empty()
-    }
-
-    /// Takes an idle connection that is still open, or else opens a new one.
-    async fn acquire(
-        self: &Arc<Self>,
-        now: Timestamp,
-        max_connections: ConnectionCount,
-    ) -> Result<(Permit, Http1Conn), LegFailure> {
-        loop {
-            let idle = {
-                let mut state = self.state.lock();
-                state.idle.retain(|(_, until)| *until > now);
-                let idle = state.idle.pop();
-                if idle.is_none() && state.in_use >= max_connections.0 {
-                    return Err(LegFailure::NoShare);
-                }
-                state.in_use += 1;
-                idle
-            };
-            let permit = Permit(Arc::clone(self));
-            match idle {
-                Some((conn, _)) if is_reusable(&conn) => return Ok((permit, conn)),
-                Some(_) => {}
-                None => return self.connect(permit).await,
-            }
-        }
-    }
-
-    async fn connect(&self, permit: Permit) -> Result<(Permit, Http1Conn), LegFailure> {
-        let connecting = tcp::connect(self.addr);
-        match timeout(CONNECT_TIMEOUT.as_duration(), connecting).await {
-            Ok(Ok(stream)) => Ok((permit, Http1Conn::new(stream))),
-            Ok(Err(_)) | Err(_) => Err(LegFailure::Unreachable),
-        }
-    }
-}
-
-impl Permit {
-    /// Returns the connection to the pool for another leg.
-    fn return_connection(self, conn: Http1Conn, until: Timestamp) {
-        self.0.state.lock().idle.push((conn, until));
-    }
-}
-
-/// Whether an idle connection can be reused: the replica has neither closed it nor sent data
-/// without a request.
-fn is_reusable(conn: &Http1Conn) -> bool {
-    let mut byte = [0; 1];
-    let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-    let received = recv(conn.stream(), &mut byte, flags);
-    received.is_err_and(|error| error == rustix::io::Errno::WOULDBLOCK)
-}
-
 fn leg_failure(error: &HttpError) -> LegFailure {
     match error {
         HttpError::Io(_) | HttpError::Closed => LegFailure::Lost,
@@ -229,3 +151,7 @@
         Span(Span::from_secs(secs).0 / 4 * KEEP_ALIVE_QUARTERS)
     })
 }
+
+#[cfg(test)]
+#[path = "replicas_tests.rs"]
+mod replicas_tests;
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -15,24 +15,58 @@
 
 const MISDIRECTED: u16 = 421;
 
+/// What is known of the responses on a connection before the next one. A replica may send a
+/// response twice, and the copy arrives where the next response is expected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnHistory {
+    /// There was none, so that the first one belongs to the first request.
+    New,
+    /// All named their request, so that a copy of one names another request than the next.
+    Identified,
+    /// Some refusal did not name its request, so that the next refusal may be its copy.
+    Unidentified,
+}
+
+/// Returns the history after a response, or nothing if the connection is not used again.
+pub(super) fn history_after(
+    history: ConnHistory,
+    head: &ResponseHead,
+    validated: &Result<ReplyHead, LegFailure>,
+) -> Option<ConnHistory> {
+    let is_identified = head.fields.has(REQUEST_ID);
+    match validated {
+        Err(LegFailure::Mangled) => None,
+        // A copy could be taken for the next answer.
+        Ok(_) if !is_identified => None,
+        Err(_) if !is_identified => Some(ConnHistory::Unidentified),
+        _ if history == ConnHistory::Unidentified => Some(ConnHistory::Unidentified),
+        _ => Some(ConnHistory::Identified),
+    }
+}
+
 /// Whether the response comes from the replica that the request was sent to, so that what it says
 /// of itself holds. An address may have been assigned to another replica, and a late response
 /// may belong to an earlier request.
 pub(super) fn is_from_upstream(head: &ResponseHead, id: &str) -> bool {
-    let is_echoed = head
-        .fields
-        .get(REQUEST_ID)
-        .is_none_or(|echoed| echoed == id);
-    is_echoed && head.status != MISDIRECTED
+    is_echoed(head, id) && head.status != MISDIRECTED
+}
+
+/// Whether the response names no other request.
+fn is_echoed(head: &ResponseHead, id: &str) -> bool {
+    !head.fields.has(REQUEST_ID) || head.fields.get(REQUEST_ID) == Some(id)
 }
 
 /// Validates the head of a complete response to the request with that id.
 ///
 /// # Errors
 /// Returns the reason why the response cannot be used.
-pub(super) fn validate(head: &ResponseHead, id: &str) -> Result<ReplyHead, LegFailure> {
+pub(super) fn validate(
+    head: &ResponseHead,
+    id: &str,
+    history: ConnHistory,
+) -> Result<ReplyHead, LegFailure> {
     let fields = &head.fields;
-    if fields.get(REQUEST_ID).is_some_and(|echoed| echoed != id) {
+    if !is_echoed(head, id) {
         return Err(LegFailure::Mangled);
     }
     if head.status == MISDIRECTED {
@@ -43,7 +77,8 @@
     }
     let proof = fields.get(PROOF).map(str::to_owned);
     let is_unencoded = fields.all(ENCODING).next().is_none();
-    if proof.is_none() || !is_unencoded || head.status < 200 {
+    let is_own = history == ConnHistory::New || fields.has(REQUEST_ID);
+    if proof.is_none() || !is_own || !is_unencoded || head.status < 200 {
         return Err(LegFailure::Mangled);
     }
     let forwarded = fields.iter().filter(|(name, _)| !is_hop_by_hop(name));
--- a/src/platform/reply_tests.rs
+++ b/src/platform/reply_tests.rs
@@ -3,7 +3,7 @@
 
 use rstest::rstest;
 
-use super::validate;
+use super::{ConnHistory, history_after, validate};
 use crate::connection::response_head;
 use crate::error::Ran;
 use crate::request::LegFailure;
@@ -30,7 +30,7 @@
 #[case::interim(Case { status: 100, fields: &[PROOF_FIELD], wanted: Err(LegFailure::Mangled) })]
 fn responses_are_validated(#[case] case: Case) {
     let head = response_head(case.status, case.fields);
-    let validated = validate(&head, "9c").map(|head| head.status);
+    let validated = validate(&head, "9c", ConnHistory::New).map(|head| head.status);
     assert_eq!(validated, case.wanted);
     if let Err(failure) = validated {
         let is_stated_not_run =
@@ -38,3 +38,49 @@
         assert_eq!(failure.ran() == Ran::NotRun, is_stated_not_run);
     }
 }
+
+struct HistoryCase {
+    before: ConnHistory,
+    status: u16,
+    fields: &'static [(&'static str, &'static str)],
+    is_used: bool,
+    after: Option<ConnHistory>,
+}
+
+const NOT_RUN_FIELD: (&str, &str) = ("Not-Executed", "1");
+
+/// Guards against the late copy of an earlier response that is taken for the answer, or for the
+/// refusal, of the next request on its connection.
+#[rstest]
+#[case::answers_name_their_request(HistoryCase {
+    before: ConnHistory::New, status: 200, fields: &[PROOF_FIELD, ID_FIELD],
+    is_used: true, after: Some(ConnHistory::Identified),
+})]
+#[case::answer_without_id_on_a_new_connection(HistoryCase {
+    before: ConnHistory::New, status: 200, fields: &[PROOF_FIELD], is_used: true, after: None,
+})]
+#[case::answer_without_id_after_others(HistoryCase {
+    before: ConnHistory::Identified, status: 200, fields: &[PROOF_FIELD], is_used: false, after: None,
+})]
+#[case::answer_after_a_refusal_without_id(HistoryCase {
+    before: ConnHistory::Unidentified, status: 200, fields: &[PROOF_FIELD, ID_FIELD],
+    is_used: true, after: Some(ConnHistory::Unidentified),
+})]
+#[case::refusal_without_id(HistoryCase {
+    before: ConnHistory::Identified, status: 503, fields: &[NOT_RUN_FIELD],
+    is_used: false, after: Some(ConnHistory::Unidentified),
+})]
+#[case::refusal_with_id(HistoryCase {
+    before: ConnHistory::Identified, status: 503, fields: &[NOT_RUN_FIELD, ID_FIELD],
+    is_used: false, after: Some(ConnHistory::Identified),
+})]
+#[case::two_ids(HistoryCase {
+    before: ConnHistory::New, status: 200, fields: &[PROOF_FIELD, ID_FIELD, ("Request-Id", "9d")],
+    is_used: false, after: None,
+})]
+fn late_copies_are_told_from_answers(#[case] case: HistoryCase) {
+    let head = response_head(case.status, case.fields);
+    let validated = validate(&head, "9c", case.before);
+    assert_eq!(validated.is_ok(), case.is_used);
+    assert_eq!(history_after(case.before, &head, &validated), case.after);
+}
--- a/src/platform/store_connections.rs
+++ b/src/platform/store_connections.rs
@@ -114,10 +114,13 @@
         check_status(reply)
     }
 
-    /// Takes the most recently used connection, if it was used less than `max_idle` ago.
+    /// Takes the most recently used connection that was used less than `max_idle` ago and on which
+    /// nothing arrived since: responses of the store do not say which call they belong to.
     fn take(&self, max_idle: Duration) -> Option<Http1Conn> {
         let mut idle = self.idle.lock();
-        idle.retain(|connection| connection.last_used.elapsed() < max_idle);
+        idle.retain(|connection| {
+            connection.last_used.elapsed() < max_idle && connection.conn.is_quiet()
+        });
         idle.pop().map(|idle_connection| idle_connection.conn)
     }
 
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -23,6 +23,8 @@
     pub shard: ShardId,
     /// The key range of the shard.
     pub range: KeyRange,
+    /// Whether the query may run more than once.
+    pub repeatable: bool,
     /// Why the leg is sent, unless it is the shard's first.
     pub extra: Option<ExtraLeg>,
     /// Time left until the deadline when the leg is sent.
--- a/src/request/send.rs
+++ b/src/request/send.rs
@@ -158,6 +158,7 @@
             snapshot: self.snapshot.id,
             shard: shard.id,
             range: shard.range,
+            repeatable: self.class.targets.repeatable,
             extra,
             time_left: self.deadline.since(cx.now),
             body: Arc::clone(&self.body),
