Let one reader at a time look for the store while it is away

Cause: while the store does not answer, every instance's updates become stale at the same moment. Each left its parent for the next one, found it as stale, and went on, 5 to 20 times a second; each change raised its record's number, which all others were told; and each tried the store when it came to its turn. Nobody had anything newer.

Change: followers stay with their parent until its updates are 8 to 12 s old. A reader that the store does not answer follows one of its followers after the other; an instance that is followed by one it gets its own updates from reads the store in its place. Probes no longer judge the instances they ask. Instances that callers are sent to join by the store as soon as it is known to answer, and a restarted instance waits for an answer to its probes before it reads the store itself.

Test: parent_tests.rs, a model of 180 instances in six domains without network.

--- a/src/process/fleet/addresses.rs
+++ b/src/process/fleet/addresses.rs
@@ -37,9 +37,21 @@
 /// of them. Another one only gets requests that are meant for it, and returns the number of
 /// all instances. One that joins counts already: it is live before others hear of it.
 pub(crate) fn serving_count(present: &[&InstanceRecord], me: SocketAddr) -> u32 {
+    let serving = serving(present);
+    let counted = if serving.contains(&me) {
+        serving.len()
+    } else {
+        present.len()
+    };
+    u32::try_from(counted.max(1)).unwrap_or(u32::MAX)
+}
+
+/// Returns the addresses that callers are sent to, wherever they are, once all instances that join
+/// are live.
+pub(super) fn serving(present: &[&InstanceRecord]) -> IndexSet<SocketAddr> {
     let serves = |record: &&&InstanceRecord| record.member.state <= MemberState::Live;
     let usable: Vec<&InstanceRecord> = present.iter().filter(serves).copied().collect();
-    let mut serving: IndexSet<SocketAddr> = IndexSet::new();
+    let mut serving = IndexSet::new();
     let domains: IndexSet<_> = present.iter().map(|record| home(record)).collect();
     for (failure_domain, region) in domains {
         let caller = CallerLocation {
@@ -48,12 +60,7 @@
         };
         serving.extend(addresses_near(&usable, &caller));
     }
-    let counted = if serving.contains(&me) {
-        serving.len()
-    } else {
-        present.len()
-    };
-    u32::try_from(counted.max(1)).unwrap_or(u32::MAX)
+    serving
 }
 
 fn addresses_near(live: &[&InstanceRecord], caller: &CallerLocation) -> Vec<SocketAddr> {
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -25,11 +25,6 @@
 const PROBE_INTERVAL: Span = Span::from_secs(2);
 /// How often all seeds are probed while no other instance is known.
 const JOIN_INTERVAL: Span = Span::from_millis(150);
-/// Updates confirmed longer ago than this are stale: a watch ends within a second.
-const STALE_AFTER: Span = Span::from_millis(1_400);
-/// Added to `STALE_AFTER` in proportion to an instance's rank in address order, so that not
-/// all instances turn to the store at once.
-const STALE_SPREAD: Span = Span::from_millis(1_000);
 
 /// What this instance has received from another process, and what it has sent to it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -62,7 +57,12 @@
     let mut followed = None;
     loop {
         let now = node.clock.now();
-        node.fleet.lock().apply_timeouts(now);
+        let age = node.object_cache.lock().age(now);
+        {
+            let mut fleet = node.fleet.lock();
+            fleet.apply_timeouts(now);
+            fleet.check_own_age(now, age);
+        }
         node.drop_lapsed();
         node.divide_limits();
         node.detect_silent_replicas();
@@ -127,12 +127,12 @@
     let (follow, sent) = build_request(node, reason, progress);
     let request = PeerRequest::Follow(Box::new(follow));
     match node.peers.request(addr, &request, max_wait).await {
-        Ok(PeerResponse::News(updates)) => Some(apply_updates(
-            node,
-            addr,
-            Progress { sent, ..progress },
-            *updates,
-        )),
+        Ok(PeerResponse::News(updates)) => {
+            if reason == FollowReason::Follows {
+                judge(node, addr, &updates);
+            }
+            Some(apply_updates(node, Progress { sent, ..progress }, *updates))
+        }
         Ok(_) => None,
         Err(error) => {
             tracing::info!(%addr, %error, "an instance does not answer");
@@ -176,11 +176,27 @@
     (follow, sent)
 }
 
-fn apply_updates(node: &Node, addr: SocketAddr, progress: Progress, updates: Updates) -> Progress {
+/// Decides whether to go on following an instance with these updates.
+fn judge(node: &Node, addr: SocketAddr, updates: &Updates) {
+    let now = node.clock.now();
+    let is_loop = updates.via.contains(&node.settings.me.member.name);
+    let age = updates.age;
+    let (freshness, avoids) = {
+        let mut fleet = node.fleet.lock();
+        let freshness = fleet.freshness(addr, age, is_loop);
+        (freshness, fleet.judge(now, addr, freshness))
+    };
+    if avoids {
+        tracing::info!(%addr, ?freshness, ?age, "avoids an instance because of its updates");
+    }
+    let members = &node.engine.metrics.members;
+    members.updated(freshness.into(), updates.size());
+}
+
+fn apply_updates(node: &Node, progress: Progress, updates: Updates) -> Progress {
     let now = node.clock.now();
     let me = &node.settings.me.member.name;
     let is_loop = updates.via.contains(me);
-    let bytes = updates.size();
     let mut learned = false;
     {
         let mut fleet = node.fleet.lock();
@@ -188,18 +204,6 @@
         for record in updates.members {
             learned |= fleet.apply_record(now, record);
         }
-        let is_stale = updates.age.is_none_or(|age| age > stale_after(&fleet));
-        let outcome = match (is_loop, is_stale) {
-            (true, _) => UpdateOutcome::Loop,
-            (false, true) => UpdateOutcome::Stale,
-            (false, false) => UpdateOutcome::Applied,
-        };
-        if outcome != UpdateOutcome::Applied {
-            let age = updates.age;
-            tracing::info!(%addr, ?outcome, ?age, "avoids an instance because of its updates");
-            fleet.avoid(now, addr);
-        }
-        node.engine.metrics.members.updated(outcome, bytes);
     }
     if learned {
         node.notify_waiters();
@@ -212,9 +216,12 @@
     if let Some(age) = age
         && !is_loop
     {
+        node.fleet.lock().on_store_confirmed(now);
         node.confirm(age, is_complete && has_everything);
     }
-    *node.via.lock() = via;
+    if !is_loop {
+        *node.via.lock() = via;
+    }
     Progress {
         objects: updates.objects_to,
         members: updates.members_to,
@@ -222,15 +229,6 @@
     }
 }
 
-/// Returns the age at which updates are stale; it grows with the rank in address order.
-fn stale_after(fleet: &super::Fleet) -> Span {
-    let own_addr = fleet.me().member.peer_addr;
-    let before = |record: &&super::InstanceRecord| record.member.peer_addr < own_addr;
-    let rank = fleet.present().filter(before).count() as u64;
-    let all = fleet.present().count().max(1) as u64;
-    Span(STALE_AFTER.0 + STALE_SPREAD.0 * rank / all)
-}
-
 pub(super) fn mark_poison(node: &Node, poison: &[crate::types::Fingerprint]) {
     let now = node.clock.now();
     let mut suspects = node.engine.tables.suspects.lock();
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -1,24 +1,18 @@
-//! Membership, and the choice of the instance to follow.
-//!
-//! Each instance gets its updates from a parent. The first instance by address reads the
-//! store. The first instance of every other failure domain follows it, and the remaining
-//! instances follow the first one of their domain. There is no election: two instances that
-//! both read the store for a while only cost calls. An instance that is unresponsive or has
-//! stale updates is avoided for a while, and its followers go on to the next one.
+//! Membership: which instances there are, and what becomes of those that fall silent.
 
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
 
+use super::avoided::AvoidReason;
 use super::instance_record::{InstanceRecord, as_gone, precedence};
-use crate::process::cells::{Member, MemberState};
+use super::parent::ParentChoice;
+use crate::process::cells::MemberState;
 use crate::types::{InstanceName, Position, Span, Timestamp};
 
 /// A follower sends its next request within half a second, so one that sends none for this
 /// long is gone.
 const FOLLOWER_TIMEOUT: Span = Span::from_millis(1_500);
-/// How long to avoid an unresponsive or stale instance, or the store after a failed call.
-const AVOID_FOR: Span = Span::from_secs(3);
 /// How often an instance renews its own record.
 const REFRESH_INTERVAL: Span = Span::from_secs(10);
 /// An instance whose record was not renewed for this long is gone; it missed two renewals.
@@ -26,15 +20,6 @@
 /// How long an instance that is gone is probed. Seeds are probed without limit.
 const PROBE_GONE_FOR: Span = Span::from_secs(60);
 
-/// Where an instance gets its updates from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Parent {
-    /// The platform's store itself.
-    Store,
-    /// The instance at this address.
-    Instance(SocketAddr),
-}
-
 #[derive(Clone, Debug)]
 struct KnownInstance {
     record: InstanceRecord,
@@ -48,17 +33,7 @@
     seq: u64,
 }
 
-/// Why an instance is not followed for a while, and until when.
-#[derive(Clone, Copy, Debug)]
-struct Avoided {
-    until: Timestamp,
-    /// The instance did not answer; it may be followed again as soon as it sends a request.
-    /// An instance with stale updates stays avoided until the time is over: while the store
-    /// is unreachable every instance is stale, and all would keep switching parents.
-    unresponsive: bool,
-}
-
-/// The instances that this one knows, and the choice among them.
+/// The instances that this one knows.
 #[derive(Clone, Debug)]
 pub(crate) struct Fleet {
     me: InstanceRecord,
@@ -66,8 +41,7 @@
     known: IndexMap<InstanceName, KnownInstance>,
     last_position: Position,
     followers: IndexMap<InstanceName, Follower>,
-    avoided: IndexMap<SocketAddr, Avoided>,
-    store_avoided_until: Timestamp,
+    pub(super) choice: ParentChoice,
 }
 
 impl Fleet {
@@ -78,8 +52,7 @@
             known: IndexMap::new(),
             last_position: Position(0),
             followers: IndexMap::new(),
-            avoided: IndexMap::new(),
-            store_avoided_until: Timestamp::default(),
+            choice: ParentChoice::default(),
         };
         fleet.apply_record(now, me);
         fleet
@@ -134,14 +107,7 @@
     /// Records a single request from an instance. It is not expected to send another,
     /// unlike a follower.
     pub(crate) fn on_contact(&mut self, now: Timestamp, other: InstanceRecord) {
-        let addr = other.member.peer_addr;
-        if self
-            .avoided
-            .get(&addr)
-            .is_some_and(|avoided| avoided.unresponsive)
-        {
-            self.avoided.swap_remove(&addr);
-        }
+        self.choice.avoided.on_contact(other.member.peer_addr);
         self.apply_record(now, other);
     }
 
@@ -166,7 +132,10 @@
 
     /// Marks an instance that did not answer as gone, and avoids it for a while.
     pub(crate) fn mark_unresponsive(&mut self, now: Timestamp, addr: SocketAddr) {
-        self.start_avoiding(now, addr, true);
+        self.choice
+            .avoided
+            .insert(now, addr, AvoidReason::Unresponsive);
+        self.publish(now);
         let known = self.known.values().map(|known| &known.record);
         let unresponsive = known
             .filter(|record| record.member.peer_addr == addr)
@@ -177,35 +146,11 @@
         }
     }
 
-    /// Avoids an instance with stale updates for a while, so that the next one is followed.
-    pub(crate) fn avoid(&mut self, now: Timestamp, addr: SocketAddr) {
-        self.start_avoiding(now, addr, false);
-    }
-
-    fn start_avoiding(&mut self, now: Timestamp, addr: SocketAddr, unresponsive: bool) {
-        let until = now + AVOID_FOR;
-        self.avoided.insert(
-            addr,
-            Avoided {
-                until,
-                unresponsive,
-            },
-        );
-        // Raises the sequence number, so that any record that the former parent publishes of
-        // this instance is older from here on.
-        self.publish(now);
-    }
-
-    /// Records that the store does not answer this instance.
-    pub(crate) fn avoid_store(&mut self, now: Timestamp) {
-        self.store_avoided_until = now + AVOID_FOR;
-    }
-
     /// Applies all timeouts: renews this instance's record, and marks as gone the followers
     /// that stopped sending requests and the instances whose record was not renewed in
     /// time.
     pub(crate) fn apply_timeouts(&mut self, now: Timestamp) {
-        self.avoided.retain(|_, avoided| avoided.until > now);
+        self.choice.avoided.remove_expired(now);
         if now.since(self.refreshed_at) >= REFRESH_INTERVAL {
             self.publish(now);
         }
@@ -234,31 +179,6 @@
         }
     }
 
-    /// Returns the parent to follow now.
-    pub(crate) fn parent(&self, now: Timestamp) -> Parent {
-        let me = &self.me.member;
-        let may_read_store = now >= self.store_avoided_until;
-        let usable = |member: &&Member| {
-            let is_me = member.name == me.name;
-            let avoided = self.avoided.get(&member.peer_addr);
-            let stays = member.state != MemberState::Leaving;
-            is_me || (stays && avoided.is_none_or(|avoided| avoided.until <= now))
-        };
-        let first = |domain_only: bool| {
-            self.present()
-                .map(|record| &record.member)
-                .filter(usable)
-                .filter(|member| !domain_only || member.failure_domain == me.failure_domain)
-                .filter(|member| may_read_store || member.name != me.name)
-                .min_by_key(|member| member.peer_addr)
-        };
-        let domain_head = first(true).filter(|domain_head| domain_head.name != me.name);
-        match domain_head.or_else(|| first(false)) {
-            Some(other) if other.name != me.name => Parent::Instance(other.peer_addr),
-            _ => Parent::Store,
-        }
-    }
-
     /// Returns the instances that are not gone, including this one.
     pub(crate) fn present(&self) -> impl Iterator<Item = &InstanceRecord> {
         self.known
@@ -291,7 +211,9 @@
         self.publish(now);
     }
 
-    fn publish(&mut self, now: Timestamp) {
+    /// Raises the sequence number, so that any record that others publish of this instance is
+    /// older from here on.
+    pub(super) fn publish(&mut self, now: Timestamp) {
         self.me.seq += 1;
         self.refreshed_at = now;
         self.apply_record(now, self.me.clone());
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 mod addresses;
 mod apply;
+mod avoided;
 mod follow;
 mod instance_record;
 mod large_objects;
@@ -14,6 +15,7 @@
 mod node;
 mod object_cache;
 mod object_decoder;
+mod parent;
 mod replica_registry;
 mod serve;
 mod silence;
@@ -28,11 +30,12 @@
 
 pub(crate) use instance_record::InstanceRecord;
 pub(crate) use large_objects::{LargeObject, ObjectPart, PartRequest};
-pub(crate) use members::{Fleet, Parent};
+pub(crate) use members::Fleet;
 pub(crate) use messages::{FollowReason, FollowRequest, Updates};
 pub(crate) use node::{Node, NodeSettings};
 pub(crate) use object_cache::{Entry, EntryState, ObjectCache};
 pub(crate) use object_decoder::{DecodedObject, ObjectDecoder};
+pub(crate) use parent::{Freshness, Parent};
 pub(crate) use replica_registry::{ReplicaEntry, ReplicaRegistry};
 pub(crate) use serve::{RouteRequest, RouteResponse};
 pub(crate) use silence::{SilenceReport, SilenceTracker, SilentReplica};
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -28,9 +28,9 @@
 /// before it reads the store itself: the others start within 0.3 s and need a moment to
 /// read it.
 const FIRST_START_WAIT: Span = Span::from_millis(500);
-/// The same after a restart, when callers are already waiting: two round trips to an
-/// instance of another region.
-const RESTART_WAIT: Span = Span::from_millis(100);
+/// The same after a restart, when callers are already waiting: longer than a probe of the seeds
+/// takes.
+const RESTART_WAIT: Span = Span::from_millis(400);
 
 /// The settings of an instance at its start.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/src/process/fleet/parent.rs
@@ -0,0 +1,279 @@
+//! The choice of the parent, from which an instance gets its updates.
+//!
+//! The first live instance by address reads the store. The first instance of every other failure
+//! domain follows it, and the remaining instances follow the first one of their domain. There is
+//! no election: two instances that both read the store for a while only cost calls.
+//!
+//! When the store does not answer the reader, the reader follows one of its own followers after
+//! the other; a follower that is asked for updates by an instance that it gets its own from reads
+//! the store in its place. All others stay where they are. See `docs/DESIGN.md`, "Who reads the
+//! store".
+
+use std::net::SocketAddr;
+
+use super::addresses;
+use super::avoided::{AvoidReason, AvoidedInstances};
+use super::{Fleet, InstanceRecord};
+use crate::process::cells::{Member, MemberState};
+use crate::types::{Fingerprint, InstanceName, Span, Timestamp};
+
+/// How long a delegate that could not read the store does not try again.
+const DELEGATE_PAUSE: Span = Span::from_secs(3);
+/// Updates confirmed longer ago than this are stale: a watch ends within a second.
+const STALE_AFTER: Span = Span::from_millis(1_400);
+/// Followers leave a parent with updates of this age. Until then the reader finds another way to
+/// the store, if there is one.
+const LEAVE_AFTER: Span = Span::from_secs(8);
+/// Added to `LEAVE_AFTER` in proportion to an instance's rank in address order, so that not all
+/// followers leave at once.
+const LEAVE_SPREAD: Span = Span::from_secs(4);
+/// How long a delegate may take to read the store before the reader tries another one.
+const DELEGATE_TIMEOUT: Span = Span::from_millis(700);
+/// How long the store is taken to answer after it confirmed an instance's objects.
+const STORE_ANSWERS_FOR: Span = Span::from_secs(2);
+/// A delegate reads the store until this long after the reader's last request.
+const DELEGATED_FOR: Span = Span::from_millis(1_500);
+
+/// Where an instance gets its updates from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Parent {
+    /// The platform's store itself.
+    Store,
+    /// The instance at this address.
+    Instance(SocketAddr),
+}
+
+/// What the updates of an instance are worth.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Freshness {
+    /// The store confirmed them lately.
+    Fresh,
+    /// The store confirmed them too long ago, or never.
+    Stale,
+    /// They came by way of the instance that asks.
+    Loop,
+}
+
+/// What an instance remembers for the choice of its parent.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ParentChoice {
+    pub(super) avoided: AvoidedInstances,
+    /// Until when this instance makes no calls to the store, after one that failed.
+    store_avoided_until: Timestamp,
+    /// Whether the store did not answer this instance's last call.
+    store_failing: bool,
+    /// The follower that reads the store in place of this instance, and since when.
+    delegate: Option<(SocketAddr, Timestamp)>,
+    /// Until when the store is known to answer, while this instance joins.
+    store_answers_until: Timestamp,
+    /// The reader in whose place this instance reads the store, and until when.
+    delegated_by: Option<(InstanceName, Timestamp)>,
+}
+
+impl ParentChoice {
+    fn is_delegated(&self, now: Timestamp) -> bool {
+        self.delegated_by
+            .as_ref()
+            .is_some_and(|(_, until)| now < *until)
+    }
+}
+
+impl Fleet {
+    /// Returns the parent to follow now.
+    pub(crate) fn parent(&self, now: Timestamp) -> Parent {
+        if self.choice.is_delegated(now) {
+            return Parent::Store;
+        }
+        match self.first_choice(now) {
+            Parent::Store if self.choice.store_failing => {
+                let delegate = self.choice.delegate.map(|(addr, _)| addr);
+                let is_usable = |addr: &SocketAddr| self.delegates(now).any(|one| one == *addr);
+                let delegate = delegate.filter(is_usable);
+                delegate
+                    .or_else(|| self.delegates(now).next())
+                    .map_or(Parent::Store, Parent::Instance)
+            }
+            parent => parent,
+        }
+    }
+
+    /// Whether this instance makes calls to the store now. One that follows a delegate goes on
+    /// trying.
+    pub(crate) fn reads_store(&self, now: Timestamp) -> bool {
+        let is_reader = self.choice.is_delegated(now) || self.first_choice(now) == Parent::Store;
+        (is_reader || self.joins_by_store(now)) && now >= self.choice.store_avoided_until
+    }
+
+    /// Records that the store confirmed the objects of another instance, which this one lacks.
+    pub(crate) fn on_store_confirmed(&mut self, now: Timestamp) {
+        self.choice.store_answers_until = now + STORE_ANSWERS_FOR;
+    }
+
+    /// Whether this instance gets its first objects from the store, besides its parent. When a
+    /// whole fleet starts, instances share the links of their parents, and callers wait for those
+    /// that serve them.
+    fn joins_by_store(&self, now: Timestamp) -> bool {
+        let me = &self.me().member;
+        if me.state != MemberState::Joining || now >= self.choice.store_answers_until {
+            return false;
+        }
+        let present: Vec<&InstanceRecord> = self.present().collect();
+        addresses::serving(&present).contains(&me.addr)
+    }
+
+    /// Records that a call to the store failed; the next one is made after `pause`.
+    pub(crate) fn on_store_failure(&mut self, now: Timestamp, pause: Span) {
+        let was_delegated = self.choice.is_delegated(now);
+        let pause = if was_delegated { DELEGATE_PAUSE } else { pause };
+        self.choice.store_failing = true;
+        self.choice.store_avoided_until = now + pause;
+        self.choice.delegated_by = None;
+    }
+
+    /// Records that the store answered a call.
+    pub(crate) fn on_store_success(&mut self) {
+        self.choice.store_failing = false;
+        self.choice.delegate = None;
+    }
+
+    /// Turns to a delegate if the reader's own objects are stale, although no call failed yet.
+    pub(crate) fn check_own_age(&mut self, now: Timestamp, age: Option<Span>) {
+        let is_stale = age.is_some_and(|age| age > STALE_AFTER);
+        if is_stale && !self.choice.is_delegated(now) && self.parent(now) == Parent::Store {
+            self.choice.store_failing = true;
+        }
+    }
+
+    /// Records that `reader` follows this instance. If this one gets its own updates by way of the
+    /// reader, the reader does not reach the store, and this one reads it in its place for as long
+    /// as the reader follows it.
+    pub(crate) fn on_followed(
+        &mut self,
+        now: Timestamp,
+        reader: &InstanceName,
+        is_followed_itself: bool,
+    ) {
+        let delegated_by = self.choice.delegated_by.as_ref();
+        let is_renewal = delegated_by.is_some_and(|(by, until)| by == reader && now < *until);
+        let may_read = now >= self.choice.store_avoided_until;
+        if !(is_renewal || is_followed_itself && may_read) {
+            return;
+        }
+        if !is_renewal {
+            self.choice.store_failing = false;
+            self.publish(now);
+        }
+        self.choice.delegated_by = Some((reader.clone(), now + DELEGATED_FOR));
+    }
+
+    /// Returns what updates are worth that came by way of this instance, or that the store
+    /// confirmed `age` ago.
+    pub(crate) fn freshness(
+        &self,
+        addr: SocketAddr,
+        age: Option<Span>,
+        is_loop: bool,
+    ) -> Freshness {
+        let max_age = if self.is_delegate(addr) {
+            STALE_AFTER
+        } else {
+            self.leave_after()
+        };
+        let is_joining = self.me().member.state == MemberState::Joining;
+        match age {
+            _ if is_loop => Freshness::Loop,
+            Some(age) if age <= max_age => Freshness::Fresh,
+            // An instance that joins knows of no live one if it follows one that joins.
+            None if is_joining => Freshness::Fresh,
+            _ => Freshness::Stale,
+        }
+    }
+
+    /// Judges the updates of the instance that this one follows. Returns whether it is avoided
+    /// from now on.
+    pub(crate) fn judge(&mut self, now: Timestamp, addr: SocketAddr, freshness: Freshness) -> bool {
+        let follows_delegate = self.choice.store_failing && self.first_choice(now) == Parent::Store;
+        if follows_delegate && !self.is_delegate(addr) {
+            self.choice.delegate = Some((addr, now));
+        }
+        if freshness == Freshness::Fresh {
+            return false;
+        }
+        if let Some((delegate, since)) = self.choice.delegate
+            && delegate == addr
+        {
+            if now.since(since) < DELEGATE_TIMEOUT {
+                return false;
+            }
+            self.choice.delegate = None;
+            self.choice
+                .avoided
+                .insert(now, addr, AvoidReason::CannotDelegate);
+            return true;
+        }
+        if self.choice.avoided.are_all_stale(now) {
+            return false;
+        }
+        self.choice.avoided.insert(now, addr, AvoidReason::Stale);
+        self.publish(now);
+        true
+    }
+
+    /// Returns the parent if the store answers.
+    fn first_choice(&self, now: Timestamp) -> Parent {
+        let me = &self.me().member;
+        let first = |domain_only: bool| {
+            self.usable(now)
+                .filter(|member| !domain_only || member.failure_domain == me.failure_domain)
+                .min_by_key(|member| (member.state != MemberState::Live, member.peer_addr))
+        };
+        let domain_head = first(true).filter(|domain_head| domain_head.name != me.name);
+        match domain_head.or_else(|| first(false)) {
+            Some(other) if other.name != me.name => Parent::Instance(other.peer_addr),
+            _ => Parent::Store,
+        }
+    }
+
+    /// Returns the instances that may be followed, and this one.
+    fn usable(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
+        let me = &self.me().member.name;
+        let is_usable = move |member: &&Member| {
+            let stays = member.state != MemberState::Leaving;
+            member.name == *me || (stays && !self.choice.avoided.contains(now, member.peer_addr))
+        };
+        self.present()
+            .map(|record| &record.member)
+            .filter(is_usable)
+    }
+
+    /// Returns the instances that may read the store in place of this one, in an order that mixes
+    /// the failure domains: a whole domain may be cut off from the store.
+    fn delegates(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
+        let me = &self.me().member.name;
+        let others = self.usable(now).filter(|member| member.name != *me);
+        let mut ranked: Vec<(Fingerprint, SocketAddr)> = others
+            .map(|member| (Fingerprint::of_name(&member.name), member.peer_addr))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, addr)| addr)
+    }
+
+    fn is_delegate(&self, addr: SocketAddr) -> bool {
+        self.choice
+            .delegate
+            .is_some_and(|(delegate, _)| delegate == addr)
+    }
+
+    /// Returns the age of updates at which this instance leaves its parent.
+    fn leave_after(&self) -> Span {
+        let own_addr = self.me().member.peer_addr;
+        let before = |record: &&InstanceRecord| record.member.peer_addr < own_addr;
+        let rank = self.present().filter(before).count() as u64;
+        let all = self.present().count().max(1) as u64;
+        Span(LEAVE_AFTER.0 + LEAVE_SPREAD.0 * rank / all)
+    }
+}
+
+#[cfg(test)]
+#[path = "parent_tests.rs"]
+mod parent_tests;
--- /dev/null
+++ b/src/process/fleet/parent_tests.rs
@@ -0,0 +1,334 @@
+//! A whole fleet while the store does not answer all of its instances, in a model without network.
+//!
+//! The load pattern: hundreds of instances whose updates all become stale at the same moment.
+//! Instances that look for fresher updates then make calls to each other and to the store in
+//! proportion to the size of the fleet, for as long as the store is away.
+
+use std::net::SocketAddr;
+
+use rstest::rstest;
+
+use super::super::{Fleet, InstanceRecord};
+use super::Parent;
+use crate::process::cells::{Member, MemberState};
+use crate::types::{Incarnation, Span, Timestamp};
+
+const INSTANCES: usize = 180;
+const DOMAINS: usize = 6;
+/// Callers are sent to these only.
+const LARGE_PER_DOMAIN: usize = 3;
+const STEP: Span = Span::from_millis(100);
+/// The instances and the store are undisturbed until then.
+const CALM: Span = Span::from_secs(3);
+/// How long an answer waits for updates.
+const UPDATES_WAIT: Span = Span::from_millis(400);
+const WATCH_WAIT: Span = Span::from_secs(1);
+const RETRY_PAUSE: Span = Span::from_millis(400);
+
+/// The calls to the store and the changes of parent: fewer than one for every other instance.
+const MAX_EVENTS: usize = INSTANCES / 2;
+/// An instance may be three steps away from the one that reads the store.
+const MAX_AGE: Span = Span(WATCH_WAIT.0 + UPDATES_WAIT.0 * 4);
+
+/// Which instances the store answers while it is disturbed.
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    /// None.
+    Away,
+    /// All but the reader.
+    WithoutReader,
+    /// Two thirds of them, without the reader.
+    WithoutThird,
+    /// All but the failure domain of the reader.
+    WithoutDomain,
+}
+
+impl Disturbance {
+    fn reaches(self, at: usize) -> bool {
+        match self {
+            Self::Away => false,
+            Self::WithoutReader => at != 0,
+            Self::WithoutThird => !at.is_multiple_of(3),
+            Self::WithoutDomain => at / (INSTANCES / DOMAINS) != 0,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Case {
+    disturbance: Disturbance,
+    lasts: Span,
+    /// Whether all instances start at that moment, without a configuration.
+    cold: bool,
+    /// All instances have fresh updates again this long after the disturbance began, or after it
+    /// ended if the store answers nobody.
+    fresh_within: Span,
+}
+
+struct Modelled {
+    fleet: Fleet,
+    confirmed_at: Option<Timestamp>,
+    via: Vec<usize>,
+    parent: Option<Parent>,
+    next_request: Timestamp,
+    next_call: Timestamp,
+}
+
+struct Model {
+    case: Case,
+    now: Timestamp,
+    instances: Vec<Modelled>,
+    calls: usize,
+    switches: usize,
+}
+
+fn addr(at: usize) -> SocketAddr {
+    SocketAddr::from((
+        [
+            10,
+            0,
+            u8::try_from(at / 250).unwrap(),
+            u8::try_from(at % 250).unwrap(),
+        ],
+        1,
+    ))
+}
+
+fn record(at: usize, state: MemberState) -> InstanceRecord {
+    let domain = at / (INSTANCES / DOMAINS);
+    InstanceRecord {
+        member: Member {
+            name: format!("front-{domain}-{at}").parse().unwrap(),
+            incarnation: Incarnation(5),
+            addr: addr(at),
+            peer_addr: addr(at),
+            failure_domain: format!("domain-{domain}").parse().unwrap(),
+            region: "central".parse().unwrap(),
+            state,
+        },
+        seq: 1,
+        capacity: if at % (INSTANCES / DOMAINS) < LARGE_PER_DOMAIN {
+            500
+        } else {
+            120
+        },
+    }
+}
+
+impl Model {
+    fn new(case: Case) -> Self {
+        let (state, confirmed_at) = if case.cold {
+            (MemberState::Joining, None)
+        } else {
+            (MemberState::Live, Some(Timestamp(0)))
+        };
+        let instance = |me: usize| {
+            let mut fleet = Fleet::new(Timestamp(0), record(me, state));
+            for at in 0..INSTANCES {
+                fleet.apply_record(Timestamp(0), record(at, state));
+            }
+            Modelled {
+                fleet,
+                confirmed_at,
+                via: Vec::new(),
+                parent: None,
+                next_request: Timestamp(0),
+                next_call: Timestamp(0),
+            }
+        };
+        Self {
+            case,
+            now: Timestamp(0),
+            instances: (0..INSTANCES).map(instance).collect(),
+            calls: 0,
+            switches: 0,
+        }
+    }
+
+    fn begin(&self) -> Timestamp {
+        Timestamp(0) + if self.case.cold { Span::ZERO } else { CALM }
+    }
+
+    fn end(&self) -> Timestamp {
+        self.begin() + self.case.lasts
+    }
+
+    fn run_until(&mut self, end: Timestamp) {
+        while self.now < end {
+            for at in 0..INSTANCES {
+                self.step(at);
+            }
+            self.now = self.now + STEP;
+        }
+    }
+
+    fn step(&mut self, at: usize) {
+        let now = self.now;
+        let age = self.age(at);
+        let me = &mut self.instances[at];
+        me.fleet.check_own_age(now, age);
+        if now >= me.next_call && me.fleet.reads_store(now) {
+            self.call_store(at);
+        }
+        let me = &mut self.instances[at];
+        let parent = me.fleet.parent(now);
+        if me.parent != Some(parent) {
+            self.switches += usize::from(me.parent.is_some());
+            me.parent = Some(parent);
+            me.next_request = now;
+        }
+        if let Parent::Instance(addr) = parent
+            && now >= me.next_request
+        {
+            me.next_request = now + UPDATES_WAIT;
+            self.follow(at, addr);
+        }
+    }
+
+    fn call_store(&mut self, at: usize) {
+        let now = self.now;
+        self.calls += 1;
+        let is_disturbed = now >= self.begin() && now < self.end();
+        let me = &mut self.instances[at];
+        if is_disturbed && !self.case.disturbance.reaches(at) {
+            me.fleet.on_store_failure(now, RETRY_PAUSE);
+            return;
+        }
+        me.fleet.on_store_success();
+        me.next_call = now + WATCH_WAIT;
+        me.via.clear();
+        self.confirm(at, now);
+    }
+
+    fn follow(&mut self, at: usize, addr: SocketAddr) {
+        let now = self.now;
+        let followed = (0..INSTANCES)
+            .find(|other| self::addr(*other) == addr)
+            .unwrap();
+        let name = self.instances[at].fleet.me().member.name.clone();
+        let is_followed_itself = self.instances[followed].via.contains(&at);
+        let other = &mut self.instances[followed];
+        other.fleet.on_followed(now, &name, is_followed_itself);
+        let age = self.age(followed);
+        let mut via = vec![followed];
+        via.extend(&self.instances[followed].via);
+        let is_loop = via.contains(&at);
+        let me = &mut self.instances[at];
+        let freshness = me.fleet.freshness(addr, age, is_loop);
+        me.fleet.judge(now, addr, freshness);
+        if is_loop {
+            return;
+        }
+        me.via = via;
+        if let Some(age) = age {
+            self.confirm(at, now - age);
+        }
+    }
+
+    fn confirm(&mut self, at: usize, confirmed_at: Timestamp) {
+        let me = &mut self.instances[at];
+        me.confirmed_at = me.confirmed_at.max(Some(confirmed_at));
+        if me.fleet.me().member.state == MemberState::Joining {
+            me.fleet.set_state(self.now, MemberState::Live);
+            let live = me.fleet.me().clone();
+            for other in &mut self.instances {
+                other.fleet.apply_record(self.now, live.clone());
+            }
+        }
+    }
+
+    fn age(&self, at: usize) -> Option<Span> {
+        let confirmed_at = self.instances[at].confirmed_at?;
+        Some(self.now.since(confirmed_at))
+    }
+
+    /// Returns how many instances have updates that are older than in calm times.
+    fn stale(&self) -> usize {
+        let is_stale = |at: &usize| self.age(*at).is_none_or(|age| age > MAX_AGE);
+        (0..INSTANCES).filter(is_stale).count()
+    }
+}
+
+#[rstest]
+#[case::calm(Case {
+    disturbance: Disturbance::Away, lasts: Span::ZERO, cold: false,
+    fresh_within: Span::ZERO,
+})]
+#[case::the_store_is_away(Case {
+    disturbance: Disturbance::Away, lasts: Span::from_secs(7), cold: false,
+    fresh_within: Span::from_secs(2),
+})]
+#[case::the_store_is_away_at_a_cold_start(Case {
+    disturbance: Disturbance::Away, lasts: Span::from_secs(7), cold: true,
+    fresh_within: Span::from_secs(2),
+})]
+#[case::the_store_refuses_the_reader(Case {
+    disturbance: Disturbance::WithoutReader, lasts: Span::from_secs(9), cold: false,
+    fresh_within: Span::from_secs(3),
+})]
+#[case::the_store_refuses_a_third_of_the_fleet(Case {
+    disturbance: Disturbance::WithoutThird, lasts: Span::from_secs(9), cold: false,
+    fresh_within: Span::from_secs(4),
+})]
+#[case::the_store_refuses_the_failure_domain_of_the_reader(Case {
+    disturbance: Disturbance::WithoutDomain, lasts: Span::from_secs(9), cold: false,
+    fresh_within: Span::from_secs(4),
+})]
+fn a_fleet_keeps_its_shape_while_the_store_does_not_answer(#[case] case: Case) {
+    let mut model = Model::new(case);
+    let wait_from = match case.disturbance {
+        Disturbance::Away => model.end(),
+        _ => model.begin(),
+    };
+    model.run_until(wait_from + case.fresh_within);
+    assert_eq!(model.stale(), 0, "instances with stale updates");
+    while model.now < model.end() + Span::from_secs(3) {
+        model.run_until(model.now + STEP);
+        assert_eq!(
+            model.stale(),
+            0,
+            "instances with stale updates at {}",
+            model.now.since(model.begin())
+        );
+    }
+    let (calls, switches) = (model.calls, model.switches);
+    println!("{calls} calls to the store, {switches} changes of parent");
+    assert!(calls < MAX_EVENTS, "{calls} calls to the store");
+    assert!(switches < MAX_EVENTS, "{switches} changes of parent");
+}
+
+struct JoinCase {
+    at: usize,
+    state: MemberState,
+    store_confirmed: bool,
+    reads_store: bool,
+}
+
+/// The load pattern: a whole fleet starts at once and shares the links of a few instances.
+#[rstest]
+#[case::callers_wait_for_it(JoinCase {
+    at: 1, state: MemberState::Joining, store_confirmed: true, reads_store: true,
+})]
+#[case::callers_are_sent_to_others(JoinCase {
+    at: 20, state: MemberState::Joining, store_confirmed: true, reads_store: false,
+})]
+#[case::the_store_may_be_away(JoinCase {
+    at: 1, state: MemberState::Joining, store_confirmed: false, reads_store: false,
+})]
+#[case::it_has_all_objects(JoinCase {
+    at: 1, state: MemberState::Live, store_confirmed: true, reads_store: false,
+})]
+fn instances_that_callers_wait_for_join_by_the_store(#[case] case: JoinCase) {
+    let now = Timestamp(0);
+    let mut fleet = Fleet::new(now, record(case.at, case.state));
+    for at in (0..INSTANCES).filter(|at| *at != case.at) {
+        fleet.apply_record(now, record(at, MemberState::Joining));
+    }
+    let mut reader = record(0, MemberState::Live);
+    reader.seq = 2;
+    fleet.apply_record(now, reader);
+    if case.store_confirmed {
+        fleet.on_store_confirmed(now);
+    }
+    assert_eq!(fleet.reads_store(now), case.reads_store);
+}
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -6,7 +6,7 @@
 use async_std::task::{sleep, spawn};
 use indexmap::IndexMap;
 
-use super::{Entry, EntryState, Node, Parent};
+use super::{Entry, EntryState, Node};
 use crate::process::{Backoff, Change, Changes, Listing, Object, ObjectKey, PlatformError};
 use crate::types::{Revision, Span, Timestamp};
 
@@ -18,9 +18,6 @@
 /// The pause after changes, so that changes close together are read with one call: each
 /// call is billed.
 const BATCHING_DELAY: Span = Span::from_millis(100);
-/// While the store does not answer, every pause is extended by its own length for each
-/// group of this many instances, which keeps the calls of all instances together few.
-const INSTANCES_PER_EXTRA_PAUSE: u64 = 8;
 const INITIAL_PAUSE: Span = Span::from_millis(50);
 /// Configurations must be in force within three seconds, and a pause uses up part of that.
 const MAX_PAUSE: Span = Span::from_millis(800);
@@ -71,8 +68,8 @@
     fn should_read(&self) -> bool {
         let now = self.node.clock.now();
         let initialized = self.node.object_cache.lock().is_initialized();
-        let store_is_parent = self.node.fleet.lock().parent(now) == Parent::Store;
-        store_is_parent && (initialized || self.node.may_bootstrap_from_store(now))
+        let reads_store = self.node.fleet.lock().reads_store(now);
+        reads_store && (initialized || self.node.may_bootstrap_from_store(now))
     }
 
     async fn read(&mut self) -> Result<(), PlatformError> {
@@ -104,6 +101,7 @@
 
     fn on_success(&mut self) {
         self.backoff.reset();
+        self.node.fleet.lock().on_store_success();
         if self.failing {
             self.failing = false;
             self.outage_ended = Some(self.node.clock.now());
@@ -125,10 +123,10 @@
             tracing::warn!(prefix = self.prefix, %error, "the store does not answer");
         }
         let now = self.node.clock.now();
-        self.node.fleet.lock().avoid_store(now);
-        let instances = self.node.fleet.lock().present().count() as u64;
         let pause = self.backoff.pause(&mut rand::rng());
-        let pause = Span(pause.0 + pause.0 * instances / INSTANCES_PER_EXTRA_PAUSE);
+        self.node.fleet.lock().on_store_failure(now, pause);
+        // A reader in whose place this instance tried the store need not wait for more updates.
+        self.node.notify_waiters();
         sleep(pause.as_duration()).await;
     }
 
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -17,11 +17,16 @@
     pub(crate) async fn answer_follow(&self, follow: FollowRequest) -> Updates {
         let now = self.clock.now();
         let me = self.settings.me.member.incarnation;
+        let is_followed_itself = self.via.lock().contains(&follow.from.member.name);
         let learned = {
             let mut fleet = self.fleet.lock();
             let before = fleet.last_position();
             match follow.reason {
-                FollowReason::Follows => fleet.on_follower(now, follow.from),
+                FollowReason::Follows => {
+                    let name = &follow.from.member.name;
+                    fleet.on_followed(now, name, is_followed_itself);
+                    fleet.on_follower(now, follow.from);
+                }
                 FollowReason::Joins | FollowReason::Looks => fleet.on_contact(now, follow.from),
             }
             for record in follow.learned {
--- a/src/process/member_metrics.rs
+++ b/src/process/member_metrics.rs
@@ -4,6 +4,7 @@
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Meter};
 
+use super::fleet::Freshness;
 use super::members::{Members, Readiness, Role};
 use crate::types::Timestamp;
 
@@ -19,6 +20,16 @@
     Failed,
 }
 
+impl From<Freshness> for UpdateOutcome {
+    fn from(freshness: Freshness) -> Self {
+        match freshness {
+            Freshness::Fresh => Self::Applied,
+            Freshness::Stale => Self::Stale,
+            Freshness::Loop => Self::Loop,
+        }
+    }
+}
+
 impl UpdateOutcome {
     const fn code(self) -> &'static str {
         match self {
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -7,7 +7,7 @@
 use siphasher::sip::SipHasher13;
 
 use super::number::number;
-use super::{ClassName, ParseError};
+use super::{ClassName, InstanceName, ParseError};
 
 number! {
     /// Identifies a shard within one snapshot.
@@ -74,6 +74,14 @@
 }
 
 impl Fingerprint {
+    /// Returns the fingerprint of an instance's name, which orders instances independently of
+    /// where they are.
+    pub(crate) fn of_name(name: &InstanceName) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(name.as_str().as_bytes());
+        Self(hasher.finish())
+    }
+
     /// Returns the fingerprint of an HTTP request, regardless of its sender and its id.
     #[must_use]
     pub fn of_request(method: &str, target: &str, body: &[u8]) -> Self {
