Join with stale objects only if the store does not answer

Cause: an instance that starts took whatever the first parent had.

Change: an instance that joins tries the store first if its parent's objects are stale, and serves with them only if the store does not answer.

Test: an_instance_joins_with_stale_objects_only_if_the_store_fails; the case 'stale' fails if may_serve_with always agrees, which is what the code did.

--- a/src/process/fleet/apply.rs
+++ b/src/process/fleet/apply.rs
@@ -125,7 +125,9 @@
             }
             object_cache.confirm(now, age);
         }
-        self.become_ready_if_known();
+        if self.fleet.lock().may_serve_with(now, age) {
+            self.become_ready_if_known();
+        }
     }
 
     /// Makes a joining instance live once a configuration is known.
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -29,8 +29,8 @@
 const LEAVE_SPREAD: Span = Span::from_secs(4);
 /// How long a delegate may take to read the store before the reader tries another one.
 const DELEGATE_TIMEOUT: Span = Span::from_millis(700);
-/// How long the store is taken to answer after it confirmed an instance's objects.
-const STORE_ANSWERS_FOR: Span = Span::from_secs(2);
+/// How long an instance that joins reads the store besides following its parent.
+const JOIN_BY_STORE_FOR: Span = Span::from_secs(2);
 /// A delegate reads the store until this long after the reader's last request.
 const DELEGATED_FOR: Span = Span::from_millis(1_500);
 
@@ -64,8 +64,8 @@
     store_failing: bool,
     /// The follower that reads the store in place of this instance, and since when.
     delegate: Option<(SocketAddr, Timestamp)>,
-    /// Until when the store is known to answer, while this instance joins.
-    store_answers_until: Timestamp,
+    /// Until when this instance reads the store while it joins.
+    joins_by_store_until: Timestamp,
     /// The reader in whose place this instance reads the store, and until when.
     delegated_by: Option<(InstanceName, Timestamp)>,
 }
@@ -104,21 +104,33 @@
         (is_reader || self.joins_by_store(now)) && now >= self.choice.store_avoided_until
     }
 
-    /// Records that the store confirmed the objects of another instance, which this one lacks.
+    /// Records that the store confirmed the objects of the parent. An instance that joins and that
+    /// callers are sent to gets them from the store as well: when a whole fleet starts, the others
+    /// share the links of their parents.
     pub(crate) fn on_store_confirmed(&mut self, now: Timestamp) {
-        self.choice.store_answers_until = now + STORE_ANSWERS_FOR;
+        if self.me().member.state != MemberState::Joining {
+            return;
+        }
+        let present: Vec<&InstanceRecord> = self.present().collect();
+        if addresses::serving(&present).contains(&self.me().member.addr) {
+            self.choice.joins_by_store_until = now + JOIN_BY_STORE_FOR;
+        }
     }
 
-    /// Whether this instance gets its first objects from the store, besides its parent. When a
-    /// whole fleet starts, instances share the links of their parents, and callers wait for those
-    /// that serve them.
-    fn joins_by_store(&self, now: Timestamp) -> bool {
-        let me = &self.me().member;
-        if me.state != MemberState::Joining || now >= self.choice.store_answers_until {
-            return false;
+    /// Whether this instance may serve callers with objects that the store confirmed `age` ago. An
+    /// instance that joins first tries the store if they are stale: a replica, a route or an
+    /// earlier life of this instance may have ended since.
+    pub(crate) fn may_serve_with(&mut self, now: Timestamp, age: Span) -> bool {
+        let is_joining = self.me().member.state == MemberState::Joining;
+        if !is_joining || age <= STALE_AFTER || self.choice.store_failing {
+            return true;
         }
-        let present: Vec<&InstanceRecord> = self.present().collect();
-        addresses::serving(&present).contains(&me.addr)
+        self.choice.joins_by_store_until = now + JOIN_BY_STORE_FOR;
+        false
+    }
+
+    fn joins_by_store(&self, now: Timestamp) -> bool {
+        self.me().member.state == MemberState::Joining && now < self.choice.joins_by_store_until
     }
 
     /// Records that a call to the store failed; the next one is made after `pause`.
--- a/src/process/fleet/parent_tests.rs
+++ b/src/process/fleet/parent_tests.rs
@@ -332,3 +332,27 @@
     }
     assert_eq!(fleet.reads_store(now), case.reads_store);
 }
+
+struct StaleJoinCase {
+    age: Span,
+    store_fails: bool,
+    serves: bool,
+    reads_store: bool,
+}
+
+/// Guards against an instance that starts, learns of a state long past from an instance that is cut
+/// off, and uses replicas that have left since.
+#[rstest]
+#[case::fresh(StaleJoinCase { age: Span::from_secs(1), store_fails: false, serves: true, reads_store: false })]
+#[case::stale(StaleJoinCase { age: Span::from_secs(2), store_fails: false, serves: false, reads_store: true })]
+#[case::nothing_newer_can_be_had(StaleJoinCase { age: Span::from_secs(2), store_fails: true, serves: true, reads_store: false })]
+fn an_instance_joins_with_stale_objects_only_if_the_store_fails(#[case] case: StaleJoinCase) {
+    let now = Timestamp(0) + CALM;
+    let mut fleet = Fleet::new(now, record(20, MemberState::Joining));
+    fleet.apply_record(now, record(0, MemberState::Live));
+    if case.store_fails {
+        fleet.on_store_failure(now, RETRY_PAUSE);
+    }
+    assert_eq!(fleet.may_serve_with(now, case.age), case.serves);
+    assert_eq!(fleet.reads_store(now), case.reads_store);
+}
