Let live instances follow those that they know as joining

At the first start of a fleet each instance became live by itself and knew the others as joining, so that each went on reading the store for 4 to 5 s.

Change: only an instance that joins prefers a live parent; a live one goes by address alone, as it always did.

Test: a_joining_instance_follows_a_live_one, whose case others_were_joining failed before.

--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -1,6 +1,6 @@
 //! The choice of the parent, from which an instance gets its updates.
 //!
-//! The first live instance by address reads the store. The first instance of every other failure
+//! The first instance by address reads the store. The first instance of every other failure
 //! domain follows it, and the remaining instances follow the first one of their domain. There is
 //! no election: two instances that both read the store for a while only cost calls.
 //!
@@ -234,10 +234,15 @@
     /// Returns the parent if the store answers.
     fn first_choice(&self, now: Timestamp) -> Parent {
         let me = &self.me().member;
+        // A live instance has what it needs, and may know others only as they were when they joined.
+        let wants_live = me.state == MemberState::Joining;
         let first = |domain_only: bool| {
             self.usable(now)
                 .filter(|member| !domain_only || member.failure_domain == me.failure_domain)
-                .min_by_key(|member| (member.state != MemberState::Live, member.peer_addr))
+                .min_by_key(|member| {
+                    let is_live = member.state == MemberState::Live;
+                    (wants_live && !is_live, member.peer_addr)
+                })
         };
         let domain_head = first(true).filter(|domain_head| domain_head.name != me.name);
         match domain_head.or_else(|| first(false)) {
--- a/src/process/fleet/parent_tests.rs
+++ b/src/process/fleet/parent_tests.rs
@@ -356,3 +356,32 @@
     assert_eq!(fleet.may_serve_with(now, case.age), case.serves);
     assert_eq!(fleet.reads_store(now), case.reads_store);
 }
+
+struct StateCase {
+    mine: MemberState,
+    others: MemberState,
+    live: Option<usize>,
+    wanted: usize,
+}
+
+/// Guards against a fleet in which each instance reads the store for itself, since it takes all
+/// others for instances that join.
+#[rstest]
+#[case::all_live(StateCase { mine: MemberState::Live, others: MemberState::Live, live: None, wanted: 0 })]
+#[case::others_were_joining(StateCase { mine: MemberState::Live, others: MemberState::Joining, live: None, wanted: 0 })]
+#[case::joins_by_a_live_one(StateCase { mine: MemberState::Joining, others: MemberState::Joining, live: Some(2), wanted: 2 })]
+#[case::all_join(StateCase { mine: MemberState::Joining, others: MemberState::Joining, live: None, wanted: 0 })]
+fn a_joining_instance_follows_a_live_one(#[case] case: StateCase) {
+    let now = Timestamp(0);
+    let mut fleet = Fleet::new(now, record(5, case.mine));
+    for at in 0..5 {
+        let is_live = case.live == Some(at);
+        let state = if is_live {
+            MemberState::Live
+        } else {
+            case.others
+        };
+        fleet.apply_record(now, record(at, state));
+    }
+    assert_eq!(fleet.parent(now), Parent::Instance(addr(case.wanted)));
+}
