Show that a reply that breaks off anywhere is no answer

Every cut point of a reply with a stated length and of one in chunks with a trailer, over sockets; the leg fails and may have run. It passes as the code stands. With a body that may be shorter than its stated length (a mutation) case_1_stated_length fails.

--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -184,3 +184,33 @@
     };
     transport.call(leg, ConnectionCount(2)).await.outcome
 }
+
+/// Guards against an answer that broke off on its way and is passed on as a complete one.
+#[rstest]
+#[case::stated_length(SECOND)]
+#[case::chunks_with_a_trailer(
+    "HTTP/1.1 200 OK\r\nRequest-Id: two\r\nAnswer-Stamp: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ntw\r\n1\r\no\r\n0\r\nX: y\r\n\r\n"
+)]
+fn a_reply_that_breaks_off_anywhere_is_no_answer(#[case] response: &'static str) {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let last = response.len();
+        spawn(async move {
+            for cut in 0..=last {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                read_request(&mut stream).await;
+                stream.write_all(&response.as_bytes()[..cut]).await.unwrap();
+            }
+        });
+        for cut in 0..=last {
+            // A connection for each call, since the last one may be kept.
+            let transport = ReplicaTransport::new(Clock::new());
+            let reply = call(&transport, addr, "two", true).await;
+            assert_eq!(reply.is_ok(), cut == last, "cut after {cut} bytes");
+            if let Err(failure) = reply {
+                assert_eq!(failure.ran(), Ran::MayHaveRun, "cut after {cut} bytes");
+            }
+        }
+    });
+}
