--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -187,7 +187,7 @@
         (freshness, fleet.judge(now, addr, freshness))
     };
     if avoids {
-        tracing::info!(%addr, ?freshness, ?age, "avoids an instance because of its updates");
+        tracing::info!(%addr, outcome = ?freshness, ?age, "avoids an instance because of its updates");
     }
     let members = &node.engine.metrics.members;
     members.updated(freshness.into(), updates.size());
