Begin requests of unknown latency in a planned stop if they may be repeated

Cause: a request that may be repeated was refused as stopping for as long as the target of its class, while the instance had not seen eight legs of it.

Change: what is not known needs no time. Such a request is answered at the end of the stop at the latest, and may be repeated then. Orders still need all the time that they are allowed.

Its message now says what callers saw.

--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -19,7 +19,8 @@
 const MIN_RETRY_SPREAD: Span = Span::from_millis(100);
 
 /// Returns how long a query of the class may take that is allowed to take `allowed`. The answer to
-/// one that must not be repeated cannot be had again, so it may take all of that.
+/// one that must not be repeated cannot be had again, so it may take all of that. One that may be
+/// repeated needs no time as long as nothing is known of its class.
 pub(crate) fn time_needed(class: &Class, latency: Option<&ClassLatency>, allowed: Span) -> Span {
     if !class.targets.repeatable {
         return allowed;
@@ -29,7 +30,7 @@
         let leg = latency.legs.quantile(SLOW_QUANTILE)?;
         Some(Span(wait.0 + leg.0))
     });
-    known.unwrap_or(class.targets.latency).min(allowed)
+    known.unwrap_or_default().min(allowed)
 }
 
 /// Admits a query unless so many of its shards have no replica that takes a leg now, by what
--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -144,7 +144,7 @@
         }
         assert!(
             began.elapsed() < Duration::from_secs(20),
-            "the deployment does not serve"
+            "the deployment does not serve: {observations:?}"
         );
     }
 }
