--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -43,7 +43,7 @@
     Instance(SocketAddr),
 }
 
-/// What the updates of an instance are worth.
+/// How recent the updates of an instance are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Freshness {
     /// The store confirmed them lately.
@@ -118,8 +118,8 @@
     }
 
     /// Whether this instance may serve callers with objects that the store confirmed `age` ago. An
-    /// instance that joins first tries the store if they are stale: a replica, a route or an
-    /// earlier life of this instance may have ended since.
+    /// instance that joins first tries the store if they are stale, since replicas may have left
+    /// and routes may have been removed in the meantime.
     pub(crate) fn may_serve_with(&mut self, now: Timestamp, age: Span) -> bool {
         let is_joining = self.me().member.state == MemberState::Joining;
         if !is_joining || age <= STALE_AFTER || self.choice.store_failing {
@@ -178,8 +178,8 @@
         self.choice.delegated_by = Some((reader.clone(), now + DELEGATED_FOR));
     }
 
-    /// Returns what updates are worth that came by way of this instance, or that the store
-    /// confirmed `age` ago.
+    /// Returns how recent updates are that the store confirmed `age` ago, or that they came by way
+    /// of this instance.
     pub(crate) fn freshness(
         &self,
         addr: SocketAddr,
@@ -234,7 +234,7 @@
     /// Returns the parent if the store answers.
     fn first_choice(&self, now: Timestamp) -> Parent {
         let me = &self.me().member;
-        // A live instance has what it needs, and may know others only as they were when they joined.
+        // A live instance may know others only as they were when they joined.
         let wants_live = me.state == MemberState::Joining;
         let first = |domain_only: bool| {
             self.usable(now)
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -125,7 +125,7 @@
         let now = self.node.clock.now();
         let pause = self.backoff.pause(&mut rand::rng());
         self.node.fleet.lock().on_store_failure(now, pause);
-        // A reader in whose place this instance tried the store need not wait for more updates.
+        // If this instance is a delegate, the reader that waits for its answer can try another.
         self.node.notify_waiters();
         sleep(pause.as_duration()).await;
     }
