Review case 1: an outage of the store can hide all replicas for good

Cause, from the logs and the source: the event of a deletion that is read late is given the version of the registration that followed it, which is then ignored.

--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,19 @@
+//! Runs the scripts of the review: `review-standin CASE RECORD`. It exits with 1 if the rule was
+//! broken, 0 if it held and 2 if the case could not run.
+
+mod common;
+mod lapse;
+
+fn main() {
+    let args: Vec<String> = std::env::args().collect();
+    let [_, case, record] = args.as_slice() else {
+        eprintln!("usage: review-standin CASE RECORD");
+        std::process::exit(2);
+    };
+    let record = common::Record::create(record);
+    let code = match case.as_str() {
+        "lapse" => lapse::run(&record),
+        _ => 2,
+    };
+    std::process::exit(code);
+}
