Review case 2: a late copy of a refusal makes an order run twice

Cause, from the source: a refused order is sent to the same replica again on the same connection, and a copy of the refusal bears the id of the new sending too.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod lapse;
+mod late_copy;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
@@ -13,6 +14,7 @@
     let record = common::Record::create(record);
     let code = match case.as_str() {
         "lapse" => lapse::run(&record),
+        "late-copy" => late_copy::run(&record),
         _ => 2,
     };
     std::process::exit(code);
