--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod lapse;
 mod late_copy;
+mod stuck_log;
 
 fn main() {
     let args: Vec<String> = std::env::args().collect();
@@ -15,6 +16,7 @@
     let code = match case.as_str() {
         "lapse" => lapse::run(&record),
         "late-copy" => late_copy::run(&record),
+        "stuck-log" => stuck_log::run(&record),
         _ => 2,
     };
     std::process::exit(code);
