--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -13,11 +13,16 @@
         std::process::exit(2);
     };
     let record = common::Record::create(record);
-    let code = match case.as_str() {
+    if !std::path::Path::new("target/release/hyssopwalk").exists() {
+        record.say("target/release/hyssopwalk is not built");
+        std::process::exit(2);
+    }
+    // A panic means that the case could not run.
+    let run = std::panic::catch_unwind(|| match case.as_str() {
         "lapse" => lapse::run(&record),
         "late-copy" => late_copy::run(&record),
         "stuck-log" => stuck_log::run(&record),
         _ => 2,
-    };
-    std::process::exit(code);
+    });
+    std::process::exit(run.unwrap_or(2));
 }
