Log when large objects begin and end to arrive, and count what is sent to followers

The record of the incident does not say how long a configuration takes to reach an instance, nor whether a newer one replaced it on the way.

--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -139,6 +139,7 @@
             return None;
         }
         let complete = self.by_key.shift_remove(&part.object.key)?;
+        tracing::info!(key = %part.object.key, version = %part.object.version, "a large object has arrived");
         Some(Entry {
             key: complete.object.key,
             version: complete.object.version,
@@ -155,6 +156,9 @@
     }
 
     fn begin(&mut self, object: LargeObject) {
+        let replaced = self.by_key.get(&object.key);
+        let discarded = replaced.map_or(0, |replaced| replaced.received.len());
+        tracing::info!(key = %object.key, version = %object.version, size = %object.size, discarded, "a large object is on its way");
         let incoming = Incoming {
             object: object.clone(),
             received: Vec::new(),
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -51,7 +51,9 @@
                 .await
                 .ok();
         }
-        self.updates_since(me, objects, members, part)
+        let updates = self.updates_since(me, objects, members, part);
+        self.engine.metrics.members.sent_update(updates.size());
+        updates
     }
 
     fn has_updates(
--- a/src/process/member_metrics.rs
+++ b/src/process/member_metrics.rs
@@ -57,6 +57,7 @@
     refused_peers: Counter<u64>,
     updates: Counter<u64>,
     update_bytes: Counter<u64>,
+    sent_update_bytes: Counter<u64>,
 }
 
 impl MemberMetrics {
@@ -77,6 +78,7 @@
             refused_peers: counter("hyssopwalk_refused_peers"),
             updates: counter("hyssopwalk_updates"),
             update_bytes: counter("hyssopwalk_update_bytes"),
+            sent_update_bytes: counter("hyssopwalk_sent_update_bytes"),
         }
     }
 
@@ -124,4 +126,9 @@
         self.updates.add(1, &[outcome]);
         self.update_bytes.add(object_bytes as u64, &[]);
     }
+
+    /// Records the size of the objects sent to a follower.
+    pub(crate) fn sent_update(&self, object_bytes: usize) {
+        self.sent_update_bytes.add(object_bytes as u64, &[]);
+    }
 }
