Let the largest instances send updates to the others

What callers saw: routes that a confirmed version had added were refused with 404 for many seconds (CONFIG, and DENIED where every version in question has them).

Cause: the parent was chosen by address alone. Where small machines have the first addresses, all copies of a configuration leave through a 20 Mbit/s link, up to 16 from the reader and 12 more from the first instance of a failure domain.

Why it works: capacity stands in every instance's record, so all choose by the same order, and where instances are alike it is the order by address as before.

--- a/src/process/fleet/instance_record.rs
+++ b/src/process/fleet/instance_record.rs
@@ -1,5 +1,8 @@
 //! The record that instances share about one instance.
 
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
 use crate::process::cells::{Member, MemberState};
 use crate::types::Incarnation;
 
@@ -25,3 +28,10 @@
     let member = &instance_record.member;
     (member.incarnation, instance_record.seq, member.state)
 }
+
+/// Returns the place of an instance in the order in which instances serve others: the ones with
+/// most capacity come first, since the updates of all followers leave through one link.
+pub(super) fn serving_order(instance_record: &InstanceRecord) -> (Reverse<u32>, SocketAddr) {
+    let addr = instance_record.member.peer_addr;
+    (Reverse(instance_record.capacity), addr)
+}
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -1,8 +1,8 @@
 //! The choice of the parent, from which an instance gets its updates.
 //!
-//! The first instance by address reads the store. The first instance of every other failure
-//! domain follows it, and the remaining instances follow the first one of their domain. There is
-//! no election: two instances that both read the store for a while only cost calls.
+//! The first instance in [`serving_order`] reads the store. The first instance of every other
+//! failure domain follows it, and the remaining instances follow the first one of their domain.
+//! There is no election: two instances that both read the store for a while only cost calls.
 //!
 //! When the store does not answer the reader, the reader follows one of its own followers after
 //! the other; a follower that is asked for updates by an instance that it gets its own from reads
@@ -13,8 +13,9 @@
 
 use super::addresses;
 use super::avoided::{AvoidReason, AvoidedInstances};
+use super::instance_record::serving_order;
 use super::{Fleet, InstanceRecord};
-use crate::process::cells::{Member, MemberState};
+use crate::process::cells::MemberState;
 use crate::types::{Fingerprint, InstanceName, Span, Timestamp};
 
 /// How long a delegate that could not read the store does not try again.
@@ -24,7 +25,7 @@
 /// Followers leave a parent with updates of this age. Until then the reader finds another way to
 /// the store, if there is one.
 const LEAVE_AFTER: Span = Span::from_secs(8);
-/// Added to `LEAVE_AFTER` in proportion to an instance's rank in address order, so that not all
+/// Added to `LEAVE_AFTER` in proportion to an instance's rank in [`serving_order`], so that not all
 /// followers leave at once.
 const LEAVE_SPREAD: Span = Span::from_secs(4);
 /// How long a delegate may take to read the store before the reader tries another one.
@@ -238,11 +239,12 @@
         let wants_live = me.state == MemberState::Joining;
         let first = |domain_only: bool| {
             self.usable(now)
-                .filter(|member| !domain_only || member.failure_domain == me.failure_domain)
-                .min_by_key(|member| {
-                    let is_live = member.state == MemberState::Live;
-                    (wants_live && !is_live, member.peer_addr)
+                .filter(|other| !domain_only || other.member.failure_domain == me.failure_domain)
+                .min_by_key(|other| {
+                    let is_live = other.member.state == MemberState::Live;
+                    (wants_live && !is_live, serving_order(other))
                 })
+                .map(|first| &first.member)
         };
         let domain_head = first(true).filter(|domain_head| domain_head.name != me.name);
         match domain_head.or_else(|| first(false)) {
@@ -252,23 +254,23 @@
     }
 
     /// Returns the instances that may be followed, and this one.
-    fn usable(&self, now: Timestamp) -> impl Iterator<Item = &Member> {
+    fn usable(&self, now: Timestamp) -> impl Iterator<Item = &InstanceRecord> {
         let me = &self.me().member.name;
-        let is_usable = move |member: &&Member| {
+        let is_usable = move |record: &&InstanceRecord| {
+            let member = &record.member;
             let stays = member.state != MemberState::Leaving;
             member.name == *me || (stays && !self.choice.avoided.contains(now, member.peer_addr))
         };
-        self.present()
-            .map(|record| &record.member)
-            .filter(is_usable)
+        self.present().filter(is_usable)
     }
 
     /// Returns the instances that may read the store in place of this one, in an order that mixes
     /// the failure domains: a whole domain may be cut off from the store.
     fn delegates(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
         let me = &self.me().member.name;
-        let others = self.usable(now).filter(|member| member.name != *me);
-        let mut ranked: Vec<(Fingerprint, SocketAddr)> = others
+        let members = self.usable(now).map(|record| &record.member);
+        let mut ranked: Vec<(Fingerprint, SocketAddr)> = members
+            .filter(|member| member.name != *me)
             .map(|member| (Fingerprint::of_name(&member.name), member.peer_addr))
             .collect();
         ranked.sort_unstable();
@@ -283,8 +285,8 @@
 
     /// Returns the age of updates at which this instance leaves its parent.
     fn leave_after(&self) -> Span {
-        let own_addr = self.me().member.peer_addr;
-        let before = |record: &&InstanceRecord| record.member.peer_addr < own_addr;
+        let own_place = serving_order(self.me());
+        let before = |record: &&InstanceRecord| serving_order(record) < own_place;
         let rank = self.present().filter(before).count() as u64;
         let all = self.present().count().max(1) as u64;
         Span(LEAVE_AFTER.0 + LEAVE_SPREAD.0 * rank / all)
