Send large objects in compressed chunks that versions share

Cause: an update carried the whole value, by offset within one version. Each change of one route sent 0.8 MB to each of up to 16 followers behind one 20 Mbit/s link, and what had arrived of a version was thrown away when the next one was announced.

Its case 'a newer version that was not announced' has no meaning any more: chunks are asked for by content, and the announcement comes first.

Why it works: chunks are known by their content, so whatever arrived of any version and from any instance counts for the next one, and what did not change is not sent.

--- a/src/connection/entry_wire.rs
+++ b/src/connection/entry_wire.rs
@@ -8,8 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::process::{Entry, EntryState, LargeObject, ObjectKey, ObjectPart, PartRequest, Updates};
-use crate::types::{ByteCount, ObjectVersion};
+use super::peer_wire::PeerWireError;
+use crate::process::{Chunk, Entry, EntryState, LargeObject, ObjectKey, Updates};
+use crate::types::{ByteCount, ChunkId, ObjectVersion};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -17,13 +18,23 @@
     Held(Vec<u8>),
     Gone,
     Lapsed,
-    /// The object's value has this size, and is sent in parts.
+    /// Only the version before sends this and the next one.
     Large(u64),
     Part {
         size: u64,
         offset: u64,
         bytes: Vec<u8>,
     },
+    /// The object's value has this size, and is sent in these chunks.
+    Chunked {
+        size: u64,
+        chunks: Vec<u128>,
+    },
+    /// A compressed chunk. It belongs to no object, so key and version are empty.
+    Chunk {
+        id: u128,
+        compressed: Vec<u8>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +45,7 @@
     state: EntryStateWire,
 }
 
+/// A request of the version before for a part of an object.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub(crate) struct PartRequestWire {
@@ -48,45 +60,46 @@
 pub(super) struct ReceivedObjects {
     pub(super) entries: Vec<Entry>,
     pub(super) large: Vec<LargeObject>,
-    pub(super) part: Option<ObjectPart>,
+    pub(super) chunks: Vec<Chunk>,
 }
 
 /// Encodes all objects of a message.
 pub(super) fn entries(updates: &Updates) -> Vec<EntryWire> {
     let whole = updates.objects.iter().map(EntryWire::from);
     let large = updates.large.iter().map(EntryWire::from);
-    let part = updates.part.iter().map(EntryWire::from);
-    whole.chain(large).chain(part).collect()
+    let chunks = updates.chunks.iter().map(EntryWire::from);
+    whole.chain(large).chain(chunks).collect()
 }
 
 /// Decodes all objects of a message.
-pub(super) fn received(wires: Vec<EntryWire>) -> ReceivedObjects {
+///
+/// # Errors
+/// [`PeerWireError::OlderVersion`] if the sender announces large objects as the version before did.
+pub(super) fn received(wires: Vec<EntryWire>) -> Result<ReceivedObjects, PeerWireError> {
     let mut received = ReceivedObjects::default();
     for wire in wires {
         let key = ObjectKey::new(wire.key);
         let version = ObjectVersion(wire.version);
-        let large = |key, size| LargeObject {
-            key,
-            version,
-            size: ByteCount(size),
-        };
         let state = match wire.state {
             EntryStateWire::Held(value) => EntryState::Present(Arc::from(value)),
             EntryStateWire::Gone => EntryState::Gone,
             EntryStateWire::Lapsed => EntryState::Lapsed,
-            EntryStateWire::Large(size) => {
-                received.large.push(large(key, size));
+            EntryStateWire::Large(_) | EntryStateWire::Part { .. } => {
+                return Err(PeerWireError::OlderVersion);
+            }
+            EntryStateWire::Chunked { size, chunks } => {
+                received.large.push(LargeObject {
+                    key,
+                    version,
+                    size: ByteCount(size),
+                    chunks: chunks.into_iter().map(ChunkId).collect(),
+                });
                 continue;
             }
-            EntryStateWire::Part {
-                size,
-                offset,
-                bytes,
-            } => {
-                received.part = Some(ObjectPart {
-                    object: large(key, size),
-                    offset: ByteCount(offset),
-                    bytes,
+            EntryStateWire::Chunk { id, compressed } => {
+                received.chunks.push(Chunk {
+                    id: ChunkId(id),
+                    compressed: Arc::from(compressed),
                 });
                 continue;
             }
@@ -97,7 +110,7 @@
             state,
         });
     }
-    received
+    Ok(received)
 }
 
 impl From<&Entry> for EntryWire {
@@ -120,45 +133,23 @@
         Self {
             key: object.key.to_string(),
             version: object.version.0,
-            state: EntryStateWire::Large(object.size.0),
-        }
-    }
-}
-
-impl From<&ObjectPart> for EntryWire {
-    fn from(part: &ObjectPart) -> Self {
-        Self {
-            key: part.object.key.to_string(),
-            version: part.object.version.0,
-            state: EntryStateWire::Part {
-                size: part.object.size.0,
-                offset: part.offset.0,
-                bytes: part.bytes.clone(),
+            state: EntryStateWire::Chunked {
+                size: object.size.0,
+                chunks: object.chunks.iter().map(|id| id.0).collect(),
             },
         }
     }
 }
 
-impl From<&PartRequest> for PartRequestWire {
-    fn from(request: &PartRequest) -> Self {
-        Self {
-            key: request.object.key.to_string(),
-            version: request.object.version.0,
-            size: request.object.size.0,
-            received: request.received.0,
-        }
-    }
-}
-
-impl From<PartRequestWire> for PartRequest {
-    fn from(wire: PartRequestWire) -> Self {
+impl From<&Chunk> for EntryWire {
+    fn from(chunk: &Chunk) -> Self {
         Self {
-            object: LargeObject {
-                key: ObjectKey::new(wire.key),
-                version: ObjectVersion(wire.version),
-                size: ByteCount(wire.size),
+            key: String::new(),
+            version: 0,
+            state: EntryStateWire::Chunk {
+                id: chunk.id.0,
+                compressed: chunk.compressed.to_vec(),
             },
-            received: ByteCount(wire.received),
         }
     }
 }
--- a/src/connection/fleet_samples.rs
+++ b/src/connection/fleet_samples.rs
@@ -7,10 +7,10 @@
 
 use super::peer_tests::{member, name};
 use crate::process::{
-    Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, LargeObject, ObjectKey,
-    ObjectPart, PartRequest, PeerRequest, PeerResponse, SilenceReport, SilentReplica, Updates,
+    Chunk, Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, LargeObject, ObjectKey,
+    PeerRequest, PeerResponse, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{ByteCount, Fingerprint, Incarnation, ObjectVersion, Position, Span};
+use crate::types::{ByteCount, ChunkId, Fingerprint, Incarnation, ObjectVersion, Position, Span};
 
 prop_compose! {
     fn instance_record()(member in member(), seq: u64, capacity: u32) -> InstanceRecord {
@@ -33,24 +33,24 @@
 }
 
 prop_compose! {
-    fn large_object()(key in name(), version: u64, size: u64) -> LargeObject {
+    fn large_object()(
+        key in name(),
+        version: u64,
+        size: u64,
+        chunks: Vec<u128>,
+    ) -> LargeObject {
         LargeObject {
             key: ObjectKey::new(key),
             version: ObjectVersion(version),
             size: ByteCount(size),
+            chunks: chunks.into_iter().map(ChunkId).collect(),
         }
     }
 }
 
 prop_compose! {
-    fn part_request()(object in large_object(), received: u64) -> PartRequest {
-        PartRequest { object, received: ByteCount(received) }
-    }
-}
-
-prop_compose! {
-    fn object_part()(object in large_object(), offset: u64, bytes: Vec<u8>) -> ObjectPart {
-        ObjectPart { object, offset: ByteCount(offset), bytes }
+    fn chunk()(id: u128, compressed: Vec<u8>) -> Chunk {
+        Chunk { id: ChunkId(id), compressed: Arc::from(compressed) }
     }
 }
 
@@ -78,7 +78,7 @@
         learned in vec(instance_record(), 0..4),
         poison: Vec<u64>,
         silent in vec(silence_report(), 0..4),
-        part in prop::option::of(part_request()),
+        chunks: Vec<u128>,
     ) -> PeerRequest {
         PeerRequest::Follow(Box::new(FollowRequest {
             from,
@@ -89,7 +89,7 @@
             learned,
             poison: poison.into_iter().map(Fingerprint).collect(),
             silent,
-            part,
+            chunks: chunks.into_iter().map(ChunkId).collect(),
         }))
     }
 }
@@ -102,7 +102,7 @@
         via in vec(name(), 0..4),
         objects in vec(entry(), 0..4),
         large in vec(large_object(), 0..4),
-        part in prop::option::of(object_part()),
+        chunks in vec(chunk(), 0..4),
         is_complete: bool,
         members in vec(instance_record(), 0..4),
         poison: Vec<u64>,
@@ -115,7 +115,7 @@
             via: via.iter().map(|name| name.parse().unwrap()).collect(),
             objects,
             large,
-            part,
+            chunks,
             is_complete,
             objects_to: Position(numbers[1]),
             members,
--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -2,12 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::entry_wire::{EntryWire, PartRequestWire, entries, received};
+use super::entry_wire::{EntryWire, entries, received};
 use super::peer_wire::{MemberWire, PeerWireError, collect};
 use crate::process::{
     FollowReason, FollowRequest, InstanceRecord, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
+use crate::types::{ChunkId, Fingerprint, Incarnation, InstanceName, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -188,17 +188,17 @@
             learned: collect(wire.learned)?,
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
             silent: collect(wire.silent)?,
-            part: None,
+            chunks: Vec::new(),
         })
     }
 }
 
 impl FollowRequestWire {
-    /// Decodes a follow request that came with a request for a part of an object.
-    pub(super) fn with_part(self, part: PartRequestWire) -> Result<FollowRequest, PeerWireError> {
-        let part = Some(part.into());
+    /// Decodes a follow request that came with a request for chunks.
+    pub(super) fn with_chunks(self, chunks: Vec<u128>) -> Result<FollowRequest, PeerWireError> {
+        let chunks = chunks.into_iter().map(ChunkId).collect();
         Ok(FollowRequest {
-            part,
+            chunks,
             ..self.try_into()?
         })
     }
@@ -234,7 +234,7 @@
 
     fn try_from(wire: UpdatesWire) -> Result<Self, PeerWireError> {
         let via: Result<Vec<InstanceName>, _> = wire.via.iter().map(|name| name.parse()).collect();
-        let received = received(wire.objects);
+        let received = received(wire.objects)?;
         Ok(Self {
             from: wire.from.try_into()?,
             of: Incarnation(wire.of),
@@ -242,7 +242,7 @@
             via: via?,
             objects: received.entries,
             large: received.large,
-            part: received.part,
+            chunks: received.chunks,
             objects_to: Position(wire.objects_to),
             is_complete: true,
             members: collect(wire.members)?,
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -189,6 +189,7 @@
         PeerWireError::Decode(_)
         | PeerWireError::Trailing(_)
         | PeerWireError::Value(_)
-        | PeerWireError::Addr(_) => StatusCode::BAD_REQUEST,
+        | PeerWireError::Addr(_)
+        | PeerWireError::OlderVersion => StatusCode::BAD_REQUEST,
     }
 }
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -38,6 +38,8 @@
     Addr(String),
     #[error("the peer uses protocol version {0} instead of {PROTOCOL}")]
     Version(u16),
+    #[error("the peer sends large objects as an older version does")]
+    OlderVersion,
 }
 
 type Bounded<const MAX_BYTES: usize> =
@@ -104,8 +106,10 @@
     Heartbeat(Box<HeartbeatWire>),
     Fetch(Vec<String>),
     Follow(Box<FollowRequestWire>),
-    /// A follow request that also requests a part of an object.
+    /// Only the version before sends this. It is answered like `Follow`.
     FollowPart(Box<FollowRequestWire>, PartRequestWire),
+    /// A follow request that also requests chunks of large objects.
+    FollowChunks(Box<FollowRequestWire>, Vec<u128>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -173,9 +177,10 @@
             PeerRequest::Fetch(keys) => Self::Fetch(keys.iter().map(ToString::to_string).collect()),
             PeerRequest::Follow(follow) => {
                 let wire = Box::new(follow.as_ref().into());
-                match &follow.part {
-                    None => Self::Follow(wire),
-                    Some(part) => Self::FollowPart(wire, part.into()),
+                if follow.chunks.is_empty() {
+                    Self::Follow(wire)
+                } else {
+                    Self::FollowChunks(wire, follow.chunks.iter().map(|id| id.0).collect())
                 }
             }
         }
@@ -193,9 +198,11 @@
             PeerRequestWire::Fetch(keys) => {
                 Self::Fetch(keys.into_iter().map(ObjectKey::new).collect())
             }
-            PeerRequestWire::Follow(follow) => Self::Follow(Box::new((*follow).try_into()?)),
-            PeerRequestWire::FollowPart(follow, part) => {
-                Self::Follow(Box::new(follow.with_part(part)?))
+            PeerRequestWire::Follow(follow) | PeerRequestWire::FollowPart(follow, _) => {
+                Self::Follow(Box::new((*follow).try_into()?))
+            }
+            PeerRequestWire::FollowChunks(follow, chunks) => {
+                Self::Follow(Box::new(follow.with_chunks(chunks)?))
             }
         })
     }
--- a/src/process/fleet/apply.rs
+++ b/src/process/fleet/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{DecodedObject, Entry, EntryState, LargeObject, Node, ObjectPart, ReplicaEntry};
+use super::{Chunk, DecodedObject, Entry, EntryState, LargeObject, Node, ReplicaEntry};
 use crate::process::Catalog;
 use crate::process::cells::MemberState;
 use crate::types::{Span, UpstreamName};
@@ -101,14 +101,14 @@
         &self,
         mut entries: Vec<Entry>,
         large: Vec<LargeObject>,
-        part: Option<ObjectPart>,
+        chunks: &[Chunk],
     ) -> bool {
         {
             let mut object_cache = self.object_cache.lock();
             for object in large {
                 object_cache.announce(object);
             }
-            entries.extend(part.and_then(|part| object_cache.add_part(&part)));
+            entries.extend(object_cache.add_chunks(chunks));
         }
         self.apply_entries(entries);
         !self.object_cache.lock().has_incoming()
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -156,9 +156,9 @@
     let now = node.clock.now();
     let poison = node.engine.tables.suspects.lock().poison_requests(now);
     let silent = node.silence.lock().reports(now);
-    let part = match reason {
-        FollowReason::Follows => node.object_cache.lock().next_part_request(),
-        FollowReason::Joins | FollowReason::Looks => None,
+    let chunks = match reason {
+        FollowReason::Follows => node.object_cache.lock().next_chunk_request(),
+        FollowReason::Joins | FollowReason::Looks => Vec::new(),
     };
     let fleet = node.fleet.lock();
     let (learned, sent) = fleet.since(progress.sent);
@@ -171,7 +171,7 @@
         learned,
         poison,
         silent,
-        part,
+        chunks,
     };
     (follow, sent)
 }
@@ -212,7 +212,7 @@
     node.accept_agreed_silence(updates.silent);
     let is_complete = updates.is_complete;
     let (age, via) = (updates.age, updates.via);
-    let has_everything = node.apply_objects(updates.objects, updates.large, updates.part);
+    let has_everything = node.apply_objects(updates.objects, updates.large, &updates.chunks);
     if let Some(age) = age
         && !is_loop
     {
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -1,170 +1,162 @@
 //! Objects that are too large for one message.
 //!
-//! Such an object is announced, and its value follows in parts, one in each message. What has
-//! arrived is kept when a request fails and when another instance is followed, so that a
-//! transfer always comes to an end, however slow the link. See `docs/DESIGN.md`, "Large
-//! objects".
+//! Such an object is announced with the ids of its chunks, and a follower requests the chunks that
+//! it lacks. What has arrived is kept when a request fails, when another instance is followed and
+//! when a newer version is announced, so that a transfer always comes to an end, however slow the
+//! link and however often the object changes. See `docs/DESIGN.md`, "Large objects".
 
 use std::sync::Arc;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 
+use super::chunks::{Chunk, ChunkStore};
 use super::{Entry, EntryState};
 use crate::process::ObjectKey;
-use crate::types::{ByteCount, ObjectVersion};
+use crate::types::{ByteCount, ChunkId, ObjectVersion};
 
-/// Values that are larger than this are sent in parts.
+/// Values that are larger than this are sent in chunks.
 const MAX_WHOLE_BYTES: usize = 16 << 10;
 /// An object that is announced with a larger value is not requested. The platform's values have
 /// at most a megabyte.
 const MAX_VALUE_BYTES: u64 = 4 << 20;
+/// How many chunks are requested at once. The sender answers with those that fit in a message.
+const MAX_REQUESTED_CHUNKS: usize = 32;
 
-/// An object whose value is sent in parts.
+/// An object whose value is sent in chunks.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LargeObject {
     pub(crate) key: ObjectKey,
     pub(crate) version: ObjectVersion,
     /// The size of its value.
     pub(crate) size: ByteCount,
+    /// The chunks of its value, in order.
+    pub(crate) chunks: Arc<[ChunkId]>,
 }
 
-/// A request for the next part of an object's value.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct PartRequest {
-    pub(crate) object: LargeObject,
-    /// How much of the value the sender has.
-    pub(crate) received: ByteCount,
-}
-
-/// A part of an object's value.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct ObjectPart {
-    pub(crate) object: LargeObject,
-    /// Where in the value the part begins.
-    pub(crate) offset: ByteCount,
-    pub(crate) bytes: Vec<u8>,
-}
-
-/// The announced objects whose values have not arrived in full.
+/// The large objects of a cache: those that it holds, and those that are on their way.
 #[derive(Clone, Debug, Default)]
-pub(super) struct IncomingObjects {
-    by_key: IndexMap<ObjectKey, Incoming>,
-}
-
-#[derive(Clone, Debug)]
-struct Incoming {
-    object: LargeObject,
-    received: Vec<u8>,
+pub(super) struct LargeObjects {
+    chunks: ChunkStore,
+    held: IndexMap<ObjectKey, LargeObject>,
+    incoming: IndexMap<ObjectKey, LargeObject>,
 }
 
-impl LargeObject {
-    /// Returns the description of an entry whose value is sent in parts.
-    pub(super) fn of(entry: &Entry) -> Option<Self> {
-        let EntryState::Present(value) = &entry.state else {
-            return None;
-        };
-        (value.len() > MAX_WHOLE_BYTES).then(|| Self {
-            key: entry.key.clone(),
-            version: entry.version,
-            size: ByteCount(value.len() as u64),
-        })
+impl LargeObjects {
+    /// Records the entry that the cache holds of an object from now on. What is on its way of a
+    /// version that is no newer is not needed any more.
+    pub(super) fn hold(&mut self, entry: &Entry) {
+        let key = &entry.key;
+        if let EntryState::Present(value) = &entry.state
+            && value.len() > MAX_WHOLE_BYTES
+        {
+            let held = LargeObject {
+                key: key.clone(),
+                version: entry.version,
+                size: ByteCount(value.len() as u64),
+                chunks: self.chunks.split(value),
+            };
+            self.held.insert(key.clone(), held);
+        } else {
+            self.held.swap_remove(key);
+        }
+        let incoming = self.incoming.get(key);
+        if incoming.is_some_and(|incoming| incoming.version <= entry.version) {
+            self.incoming.shift_remove(key);
+        }
+        self.drop_unused();
     }
-}
 
-impl ObjectPart {
-    /// Returns the part of at most `max_bytes` of an entry that answers a request. An entry
-    /// that differs from the requested object is sent from its beginning.
-    pub(super) fn answer(entry: &Entry, request: &PartRequest, max_bytes: usize) -> Option<Self> {
-        let EntryState::Present(value) = &entry.state else {
-            return None;
-        };
-        let object = LargeObject::of(entry)?;
-        let offset = if object == request.object {
-            usize::try_from(request.received.0).ok()?
-        } else {
-            0
-        };
-        let rest = value.get(offset..)?;
-        Some(Self {
-            object,
-            offset: ByteCount(offset as u64),
-            bytes: rest[..rest.len().min(max_bytes)].to_vec(),
-        })
+    /// Returns the announcement of an entry whose value is sent in chunks.
+    pub(super) fn announcement(&self, entry: &Entry) -> Option<&LargeObject> {
+        self.held.get(&entry.key)
     }
-}
 
-impl IncomingObjects {
-    pub(super) fn is_empty(&self) -> bool {
-        self.by_key.is_empty()
+    /// Whether an announced object has not arrived in full.
+    pub(super) fn has_incoming(&self) -> bool {
+        !self.incoming.is_empty()
     }
 
-    /// Records that an object was announced. What arrived of another version is discarded.
+    /// Records that an object was announced.
     pub(super) fn announce(&mut self, object: LargeObject) {
-        let known = self.by_key.get(&object.key);
-        let is_new = known.is_none_or(|known| object.version > known.object.version);
-        if object.size.0 > MAX_VALUE_BYTES {
-            tracing::warn!(key = %object.key, size = %object.size, "an announced object is too large");
-        } else if is_new {
-            self.begin(object);
+        let known = self.incoming.get(&object.key);
+        if known.is_some_and(|known| object.version <= known.version) {
+            return;
+        }
+        let (key, version, size) = (&object.key, object.version, object.size);
+        if size.0 > MAX_VALUE_BYTES || object.chunks.len() as u64 > size.0 {
+            tracing::warn!(%key, %size, "an announced object is too large");
+            return;
         }
+        let missing = missing(&self.chunks, &object).count();
+        let chunks = object.chunks.len();
+        tracing::info!(%key, %version, %size, chunks, missing, "a large object is on its way");
+        self.incoming.insert(key.clone(), object);
     }
 
-    /// Returns the request for the next part that is missing.
-    pub(super) fn next_request(&self) -> Option<PartRequest> {
-        self.by_key.values().next().map(|incoming| PartRequest {
-            object: incoming.object.clone(),
-            received: ByteCount(incoming.received.len() as u64),
-        })
+    /// Returns the next chunks to request, if any are missing.
+    pub(super) fn next_request(&self) -> Vec<ChunkId> {
+        let incoming = self.incoming.values();
+        let missing = incoming.flat_map(|object| missing(&self.chunks, object));
+        let distinct: IndexSet<ChunkId> = missing.take(MAX_REQUESTED_CHUNKS).collect();
+        distinct.into_iter().collect()
     }
 
-    /// Adds a part. Returns the object's entry when its value is complete.
-    pub(super) fn add(&mut self, part: &ObjectPart) -> Option<Entry> {
-        let known = self.by_key.get(&part.object.key)?;
-        // The sender may hold a later version than the one that was announced.
-        let replaces = part.offset == ByteCount(0)
-            && part.object.version >= known.object.version
-            && part.object != known.object
-            && part.object.size.0 <= MAX_VALUE_BYTES;
-        if replaces {
-            self.begin(part.object.clone());
-        }
-        let incoming = self.by_key.get_mut(&part.object.key)?;
-        let continues = part.object == incoming.object
-            && part.offset == ByteCount(incoming.received.len() as u64);
-        if !continues {
-            return None;
+    /// Stores requested chunks. Returns the entries of the objects that are complete by now.
+    pub(super) fn add(&mut self, chunks: &[Chunk]) -> Vec<Entry> {
+        for chunk in chunks {
+            let is_missing = |object: &LargeObject| object.chunks.contains(&chunk.id);
+            if self.incoming.values().any(is_missing) {
+                self.chunks.insert(chunk);
+            }
         }
-        incoming.received.extend_from_slice(&part.bytes);
-        if (incoming.received.len() as u64) < incoming.object.size.0 {
+        let has_all = |object: &LargeObject| missing(&self.chunks, object).next().is_none();
+        let complete = self.incoming.extract_if(.., |_, object| has_all(object));
+        let complete: Vec<LargeObject> = complete.map(|(_, object)| object).collect();
+        let assembled = complete.into_iter().map(|object| self.assemble(object));
+        assembled.flatten().collect()
+    }
+
+    /// Returns those of the requested chunks that this instance has, with at most about `max_bytes`.
+    pub(super) fn requested(&self, ids: &[ChunkId], max_bytes: usize) -> Vec<Chunk> {
+        let mut bytes = 0;
+        let fits = |chunk: &Chunk| {
+            let is_first = bytes == 0;
+            bytes += chunk.compressed.len();
+            is_first || bytes <= max_bytes
+        };
+        let chunks = ids.iter().filter_map(|id| self.chunks.get(*id));
+        chunks.take_while(fits).collect()
+    }
+
+    /// Whether this instance has any of the requested chunks.
+    pub(super) fn has_any(&self, ids: &[ChunkId]) -> bool {
+        ids.iter().any(|id| self.chunks.contains(*id))
+    }
+
+    fn assemble(&self, object: LargeObject) -> Option<Entry> {
+        let (key, version) = (object.key, object.version);
+        let Some(value) = self.chunks.join(&object.chunks, object.size) else {
+            tracing::warn!(%key, %version, "the chunks of an object do not make up its size");
             return None;
-        }
-        let complete = self.by_key.shift_remove(&part.object.key)?;
-        tracing::info!(key = %part.object.key, version = %part.object.version, "a large object has arrived");
+        };
+        tracing::info!(%key, %version, "a large object has arrived");
         Some(Entry {
-            key: complete.object.key,
-            version: complete.object.version,
-            state: EntryState::Present(Arc::from(complete.received)),
+            key,
+            version,
+            state: EntryState::Present(Arc::from(value)),
         })
     }
 
-    /// Discards what arrived of a version that is no newer than a known one.
-    pub(super) fn discard(&mut self, key: &ObjectKey, known: ObjectVersion) {
-        let incoming = self.by_key.get(key);
-        if incoming.is_some_and(|incoming| incoming.object.version <= known) {
-            self.by_key.shift_remove(key);
-        }
+    fn drop_unused(&mut self) {
+        let objects = self.held.values().chain(self.incoming.values());
+        let used = objects.flat_map(|object| object.chunks.iter().copied());
+        self.chunks.retain(&used.collect());
     }
+}
 
-    fn begin(&mut self, object: LargeObject) {
-        let replaced = self.by_key.get(&object.key);
-        let discarded = replaced.map_or(0, |replaced| replaced.received.len());
-        tracing::info!(key = %object.key, version = %object.version, size = %object.size, discarded, "a large object is on its way");
-        let incoming = Incoming {
-            object: object.clone(),
-            received: Vec::new(),
-        };
-        self.by_key.insert(object.key, incoming);
-    }
+fn missing(stored: &ChunkStore, object: &LargeObject) -> impl Iterator<Item = ChunkId> {
+    let chunks = object.chunks.iter().copied();
+    chunks.filter(|id| !stored.contains(*id))
 }
 
 #[cfg(test)]
--- a/src/process/fleet/large_objects_tests.rs
+++ b/src/process/fleet/large_objects_tests.rs
@@ -1,27 +1,34 @@
-//! A transfer in parts survives what happens to requests and to the instances that are asked,
-//! and never mixes two values.
+//! A transfer in chunks survives what happens to requests, to the instances that are asked and to
+//! the object itself, and never mixes two values.
 
 use std::sync::Arc;
 
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 use super::super::ObjectCache;
-use super::{Entry, EntryState, LargeObject, ObjectPart};
+use super::{Chunk, Entry, EntryState, LargeObject};
 use crate::process::ObjectKey;
-use crate::types::{ByteCount, ObjectVersion, Position};
+use crate::types::{ByteCount, ChunkId, ObjectVersion, Position};
 
-const SIZE: u64 = 100 << 10;
-const PART: usize = 30 << 10;
-const MESSAGE: usize = 64 << 10;
+const SIZE: usize = 200 << 10;
+/// How many bytes each version changes, at a place of its own.
+const CHANGED_BYTES: usize = 200;
+const MESSAGE: usize = 30 << 10;
 
 #[derive(Clone, Copy, Debug)]
 enum Step {
-    /// The reply with the next part arrives from an instance that holds this version.
+    /// The reply with the next chunks arrives from an instance that holds this version.
     From(u64),
+    /// All further replies arrive from an instance that holds this version.
+    RestFrom(u64),
     /// The reply is lost on its way.
     Lost,
     /// A late reply of an earlier request arrives a second time.
     Repeated,
+    /// A reply arrives with a chunk whose content is not that of its id.
+    Damaged(u64),
     /// An instance that holds this version announces it.
     Announced(u64),
     /// The object arrives by another way at this version, small enough for one message.
@@ -30,13 +37,22 @@
 
 struct Case {
     steps: &'static [Step],
-    /// The version held in the end, and whether a part of another is still requested.
+    /// The version held in the end, and whether chunks of another are still requested.
     wanted: (u64, bool),
 }
 
+/// Versions share all but a few bytes.
 fn value(version: u64) -> Vec<u8> {
-    let byte = |at: u64| u8::try_from((at + version * 7) % 251).unwrap();
-    (0..SIZE + version).map(byte).collect()
+    let letters = |seed: u64, count: usize| {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        (0..count)
+            .map(|_| rng.random_range(b'a'..=b'z'))
+            .collect::<Vec<u8>>()
+    };
+    let mut value = letters(0, SIZE);
+    let at = usize::try_from(version).unwrap() * (20 << 10);
+    value[at..at + CHANGED_BYTES].copy_from_slice(&letters(version, CHANGED_BYTES));
+    value
 }
 
 fn entry(version: u64, value: Vec<u8>) -> Entry {
@@ -53,42 +69,56 @@
     holder
 }
 
-fn reply(follower: &ObjectCache, version: u64) -> Option<ObjectPart> {
-    let request = follower.next_part_request()?;
-    holder(version).part(&request, PART)
+fn reply(follower: &ObjectCache, version: u64) -> Vec<Chunk> {
+    holder(version).requested_chunks(&follower.next_chunk_request(), MESSAGE)
+}
+
+fn receive(follower: &mut ObjectCache, chunks: &[Chunk]) {
+    for complete in follower.add_chunks(chunks) {
+        let version = complete.version.0;
+        assert_eq!(complete, entry(version, value(version)));
+        follower.apply(complete);
+    }
+}
+
+fn announce(follower: &mut ObjectCache, version: u64) {
+    for object in holder(version).since(Position(0), MESSAGE).large {
+        follower.announce(object);
+    }
 }
 
 #[rstest]
-#[case::one_part_after_the_other(Case {
-    steps: &[Step::From(2), Step::From(2), Step::From(2), Step::From(2)],
-    wanted: (2, false),
-})]
-#[case::lost_replies_cost_one_part_each(Case {
-    steps: &[Step::From(2), Step::Lost, Step::From(2), Step::Lost, Step::From(2), Step::From(2)],
+#[case::one_reply_after_the_other(Case { steps: &[Step::RestFrom(2)], wanted: (2, false) })]
+#[case::lost_replies_cost_their_chunks_only(Case {
+    steps: &[Step::From(2), Step::Lost, Step::From(2), Step::Lost, Step::RestFrom(2)],
     wanted: (2, false),
 })]
 #[case::another_instance_goes_on(Case {
-    steps: &[Step::From(2), Step::From(2), Step::Announced(2), Step::From(2), Step::From(2)],
+    steps: &[Step::From(2), Step::Announced(2), Step::RestFrom(2)],
     wanted: (2, false),
 })]
-#[case::an_instance_without_the_version_changes_nothing(Case {
-    steps: &[Step::From(2), Step::From(1), Step::From(2), Step::From(1), Step::From(2), Step::From(2)],
+#[case::an_instance_with_another_version_sends_what_is_the_same(Case {
+    steps: &[Step::RestFrom(1), Step::RestFrom(2)],
     wanted: (2, false),
 })]
-#[case::a_newer_version_replaces_what_arrived(Case {
-    steps: &[Step::From(2), Step::Announced(3), Step::From(3), Step::From(3), Step::From(3), Step::From(3)],
-    wanted: (3, false),
+#[case::an_instance_with_another_version_alone_is_not_enough(Case {
+    steps: &[Step::RestFrom(1)],
+    wanted: (0, true),
 })]
-#[case::a_newer_version_that_was_not_announced(Case {
-    steps: &[Step::From(2), Step::From(3), Step::From(3), Step::From(3), Step::From(3)],
+#[case::a_newer_version_takes_over_what_arrived(Case {
+    steps: &[Step::From(2), Step::Announced(3), Step::RestFrom(3)],
     wanted: (3, false),
 })]
 #[case::an_older_announcement_is_ignored(Case {
-    steps: &[Step::From(2), Step::From(2), Step::Announced(1), Step::From(2), Step::From(2)],
+    steps: &[Step::From(2), Step::Announced(1), Step::RestFrom(2)],
+    wanted: (2, false),
+})]
+#[case::a_repeated_reply_changes_nothing(Case {
+    steps: &[Step::From(2), Step::Repeated, Step::RestFrom(2), Step::Repeated],
     wanted: (2, false),
 })]
-#[case::a_repeated_reply_is_ignored(Case {
-    steps: &[Step::From(2), Step::Repeated, Step::From(2), Step::From(2), Step::From(2)],
+#[case::a_damaged_chunk_is_requested_again(Case {
+    steps: &[Step::Damaged(2), Step::From(2), Step::Damaged(2), Step::RestFrom(2)],
     wanted: (2, false),
 })]
 #[case::a_small_newer_version_ends_the_transfer(Case {
@@ -103,27 +133,31 @@
 fn a_large_object_arrives_whole_or_not_at_all(#[case] case: Case) {
     let mut follower = ObjectCache::default();
     announce(&mut follower, 2);
-    let mut last_part = None;
+    let mut last_reply = Vec::new();
     for step in case.steps {
-        let part = match step {
-            Step::From(version) => reply(&follower, *version),
-            Step::Repeated => last_part.clone(),
-            Step::Lost => None,
-            Step::Announced(version) => {
-                announce(&mut follower, *version);
-                None
+        match step {
+            Step::From(version) => {
+                last_reply = reply(&follower, *version);
+                receive(&mut follower, &last_reply);
             }
+            Step::RestFrom(version) => loop {
+                let chunks = reply(&follower, *version);
+                if chunks.is_empty() {
+                    break;
+                }
+                receive(&mut follower, &chunks);
+            },
+            Step::Repeated => receive(&mut follower, &last_reply),
+            Step::Damaged(version) => {
+                let mut chunks = reply(&follower, *version);
+                chunks[0].compressed = Arc::from([1, 2, 3]);
+                receive(&mut follower, &chunks);
+            }
+            Step::Lost => {}
+            Step::Announced(version) => announce(&mut follower, *version),
             Step::SmallAt(version) => {
                 follower.apply(entry(*version, b"small".to_vec()));
-                None
             }
-        };
-        last_part.clone_from(&part);
-        let complete = part.and_then(|part| follower.add_part(&part));
-        if let Some(complete) = complete {
-            let version = complete.version.0;
-            assert_eq!(complete, entry(version, value(version)));
-            follower.apply(complete);
         }
     }
     let held = follower.since(Position(0), MESSAGE);
@@ -133,20 +167,56 @@
     assert_eq!((version, follower.has_incoming()), case.wanted);
 }
 
-fn announce(follower: &mut ObjectCache, version: u64) {
-    for object in holder(version).since(Position(0), MESSAGE).large {
-        follower.announce(object);
+/// Guards against a transfer that begins anew whenever the object changes, and so never ends under
+/// a series of changes.
+#[test]
+fn a_series_of_changes_does_not_begin_a_transfer_anew() {
+    let mut follower = ObjectCache::default();
+    announce(&mut follower, 1);
+    let undisturbed = replies_until_complete(&mut follower.clone(), 1);
+    let last = undisturbed + 1;
+    for version in 1..last {
+        let chunks = reply(&follower, version);
+        receive(&mut follower, &chunks);
+        announce(&mut follower, version + 1);
     }
+    let further = replies_until_complete(&mut follower, last);
+    assert!(
+        further * 2 <= undisturbed,
+        "{further} replies after the last change, {undisturbed} without changes"
+    );
 }
 
-/// A sender that announces more than a value may have costs no memory.
+fn replies_until_complete(follower: &mut ObjectCache, version: u64) -> u64 {
+    let mut replies = 0;
+    while follower.has_incoming() {
+        let chunks = reply(follower, version);
+        receive(follower, &chunks);
+        replies += 1;
+    }
+    replies
+}
+
+/// Guards against a change of one route that sends the whole configuration again.
 #[test]
-fn an_object_beyond_the_size_limit_is_not_requested() {
+fn a_small_change_requests_few_chunks() {
+    let mut follower = holder(2);
+    announce(&mut follower, 3);
+    let requested = follower.next_chunk_request();
+    assert!((1..=4).contains(&requested.len()), "{}", requested.len());
+}
+
+/// A sender that announces more than a value may have costs no memory.
+#[rstest]
+#[case::too_many_bytes(u64::MAX, 1)]
+#[case::more_chunks_than_bytes(10, 11)]
+fn an_object_beyond_the_size_limit_is_not_requested(#[case] size: u64, #[case] chunks: usize) {
     let mut follower = ObjectCache::default();
     follower.announce(LargeObject {
         key: ObjectKey::new("config/main"),
         version: ObjectVersion(1),
-        size: ByteCount(u64::MAX),
+        size: ByteCount(size),
+        chunks: (0..).map(ChunkId).take(chunks).collect(),
     });
-    assert_eq!(follower.next_part_request(), None);
+    assert_eq!(follower.next_chunk_request(), []);
 }
--- a/src/process/fleet/messages.rs
+++ b/src/process/fleet/messages.rs
@@ -1,9 +1,7 @@
 //! The messages between a follower and its parent.
 
-use super::{
-    Entry, InstanceRecord, LargeObject, ObjectPart, PartRequest, SilenceReport, SilentReplica,
-};
-use crate::types::{Fingerprint, Incarnation, InstanceName, Position, Span};
+use super::{Chunk, Entry, InstanceRecord, LargeObject, SilenceReport, SilentReplica};
+use crate::types::{ChunkId, Fingerprint, Incarnation, InstanceName, Position, Span};
 
 /// Why an instance sends a request for updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,8 +31,8 @@
     pub(crate) poison: Vec<Fingerprint>,
     /// Replicas that the sender or its followers found silent.
     pub(crate) silent: Vec<SilenceReport>,
-    /// The part that the sender lacks of an announced object.
-    pub(crate) part: Option<PartRequest>,
+    /// The chunks that the sender lacks of announced objects.
+    pub(crate) chunks: Vec<ChunkId>,
 }
 
 /// The updates that a follower lacks.
@@ -48,10 +46,10 @@
     /// The instances that the objects were passed on by, the sender first.
     pub(crate) via: Vec<InstanceName>,
     pub(crate) objects: Vec<Entry>,
-    /// Announces objects whose values are sent in parts.
+    /// Announces objects whose values are sent in chunks.
     pub(crate) large: Vec<LargeObject>,
-    /// The requested part of an announced object.
-    pub(crate) part: Option<ObjectPart>,
+    /// Requested chunks of announced objects.
+    pub(crate) chunks: Vec<Chunk>,
     pub(crate) objects_to: Position,
     /// Whether these are all updates that the sender has for the follower now, apart from
     /// the values of announced objects.
@@ -67,7 +65,8 @@
 impl Updates {
     /// Returns the approximate size of the objects in the message.
     pub(super) fn size(&self) -> usize {
-        let part = self.part.as_ref().map_or(0, |part| part.bytes.len());
-        self.objects.iter().map(Entry::size).sum::<usize>() + part
+        let objects = self.objects.iter().map(Entry::size);
+        let chunks = self.chunks.iter().map(|chunk| chunk.compressed.len());
+        objects.chain(chunks).sum()
     }
 }
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -7,6 +7,7 @@
 mod addresses;
 mod apply;
 mod avoided;
+mod chunks;
 mod follow;
 mod instance_record;
 mod large_objects;
@@ -32,8 +33,9 @@
 #[cfg(test)]
 mod slow_link_tests;
 
+pub(crate) use chunks::Chunk;
 pub(crate) use instance_record::InstanceRecord;
-pub(crate) use large_objects::{LargeObject, ObjectPart, PartRequest};
+pub(crate) use large_objects::LargeObject;
 pub(crate) use members::Fleet;
 pub(crate) use messages::{FollowReason, FollowRequest, Updates};
 pub(crate) use node::{Node, NodeSettings};
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -9,9 +9,10 @@
 
 use indexmap::{IndexMap, IndexSet};
 
-use super::large_objects::{IncomingObjects, LargeObject, ObjectPart, PartRequest};
+use super::chunks::Chunk;
+use super::large_objects::{LargeObject, LargeObjects};
 use crate::process::ObjectKey;
-use crate::types::{ObjectVersion, Position, Revision, Span, Timestamp};
+use crate::types::{ChunkId, ObjectVersion, Position, Revision, Span, Timestamp};
 
 /// An object at one version, or the record that it was deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -48,7 +49,7 @@
 pub(crate) struct CacheChanges {
     /// The changed objects, oldest change first.
     pub(crate) entries: Vec<Entry>,
-    /// The changed objects whose values are sent in parts.
+    /// The changed objects whose values are sent in chunks.
     pub(crate) large: Vec<LargeObject>,
     /// The position that the changes reach.
     pub(crate) up_to: Position,
@@ -60,7 +61,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ObjectCache {
     entries: IndexMap<ObjectKey, (Position, Entry)>,
-    incoming: IncomingObjects,
+    large: LargeObjects,
     last_position: Position,
     /// The number of followed prefixes.
     prefixes: usize,
@@ -121,7 +122,7 @@
             }
         }
         self.last_position = Position(self.last_position.0 + 1);
-        self.incoming.discard(&entry.key, entry.version);
+        self.large.hold(&entry);
         self.entries
             .insert(entry.key.clone(), (self.last_position, entry));
         true
@@ -157,38 +158,39 @@
             .collect()
     }
 
-    /// Records that an object was announced whose value is sent in parts.
+    /// Records that an object was announced whose value is sent in chunks.
     pub(crate) fn announce(&mut self, object: LargeObject) {
         let known = self.entries.get(&object.key);
         if known.is_none_or(|(_, known)| object.version > known.version) {
-            self.incoming.announce(object);
+            self.large.announce(object);
         }
     }
 
     /// Whether an announced object has not arrived in full.
     pub(crate) fn has_incoming(&self) -> bool {
-        !self.incoming.is_empty()
+        self.large.has_incoming()
     }
 
-    /// Returns the request for the next part of an announced object.
-    pub(crate) fn next_part_request(&self) -> Option<PartRequest> {
-        self.incoming.next_request()
+    /// Returns the next chunks of announced objects to request.
+    pub(crate) fn next_chunk_request(&self) -> Vec<ChunkId> {
+        self.large.next_request()
     }
 
-    /// Adds a part of an announced object. Returns the object's entry, which is yet to be
-    /// applied, when its value is complete.
-    pub(crate) fn add_part(&mut self, part: &ObjectPart) -> Option<Entry> {
-        self.incoming.add(part)
+    /// Adds chunks of announced objects. Returns the entries of the objects whose values are
+    /// complete; they are yet to be applied.
+    pub(crate) fn add_chunks(&mut self, chunks: &[Chunk]) -> Vec<Entry> {
+        self.large.add(chunks)
     }
 
-    /// Returns the requested part of a value, if this instance has the object at the
-    /// requested version or a later one.
-    pub(crate) fn part(&self, request: &PartRequest, max_bytes: usize) -> Option<ObjectPart> {
-        let (_, entry) = self.entries.get(&request.object.key)?;
-        if entry.version < request.object.version {
-            return None;
-        }
-        ObjectPart::answer(entry, request, max_bytes)
+    /// Returns those of the requested chunks that this instance has, with at most about
+    /// `max_bytes`.
+    pub(crate) fn requested_chunks(&self, ids: &[ChunkId], max_bytes: usize) -> Vec<Chunk> {
+        self.large.requested(ids, max_bytes)
+    }
+
+    /// Whether this instance has any of the requested chunks.
+    pub(crate) fn has_any_chunk(&self, ids: &[ChunkId]) -> bool {
+        self.large.has_any(ids)
     }
 
     /// Returns the changes after a position, with at most about `max_bytes` of values.
@@ -199,8 +201,8 @@
         let mut bytes = 0;
         let mut sent = CacheChanges::default();
         for (at, entry) in changes {
-            if let Some(large) = LargeObject::of(entry) {
-                sent.large.push(large);
+            if let Some(large) = self.large.announcement(entry) {
+                sent.large.push(large.clone());
                 continue;
             }
             bytes += entry.size();
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -2,12 +2,12 @@
 
 use async_std::future::timeout;
 
-use super::{FollowReason, FollowRequest, Node, PartRequest, Updates, follow};
-use crate::types::{Incarnation, Position, Span};
+use super::{FollowReason, FollowRequest, Node, Updates, follow};
+use crate::types::{ChunkId, Incarnation, Position, Span};
 
 /// How long a request waits for updates before it gets an empty answer.
 const UPDATES_WAIT: Span = Span::from_millis(400);
-/// The approximate limit on the objects in one message, and on the part of a large one. A
+/// The approximate limit on the objects in one message, and on the chunks of large ones. A
 /// message has to cross a slow link that several followers share within the timeout of a
 /// request.
 const MAX_OBJECT_BYTES: usize = 64 << 10;
@@ -45,29 +45,23 @@
             FollowReason::Follows | FollowReason::Joins => (Position(0), Position(0)),
         };
         let changed = self.next_change();
-        let part = follow.part.as_ref();
-        if !self.has_updates(objects, members, part) {
+        let chunks = follow.chunks.as_slice();
+        if !self.has_updates(objects, members, chunks) {
             timeout(UPDATES_WAIT.as_duration(), changed.recv())
                 .await
                 .ok();
         }
-        let updates = self.updates_since(me, objects, members, part);
+        let updates = self.updates_since(me, objects, members, chunks);
         self.engine.metrics.members.sent_update(updates.size());
         updates
     }
 
-    fn has_updates(
-        &self,
-        objects: Position,
-        members: Position,
-        part: Option<&PartRequest>,
-    ) -> bool {
+    fn has_updates(&self, objects: Position, members: Position, chunks: &[ChunkId]) -> bool {
         if self.fleet.lock().last_position() != members {
             return true;
         }
         let object_cache = self.object_cache.lock();
-        object_cache.last_position() != objects
-            || part.is_some_and(|part| object_cache.part(part, 1).is_some())
+        object_cache.last_position() != objects || object_cache.has_any_chunk(chunks)
     }
 
     fn updates_since(
@@ -75,7 +69,7 @@
         of: Incarnation,
         objects: Position,
         members: Position,
-        part: Option<&PartRequest>,
+        chunks: &[ChunkId],
     ) -> Updates {
         let now = self.clock.now();
         let (from, (members, members_to)) = {
@@ -84,12 +78,12 @@
         };
         let poison = self.engine.tables.suspects.lock().poison_requests(now);
         let silent = self.silence.lock().agreed(now);
-        let (age, changes, part) = {
+        let (age, changes, chunks) = {
             let object_cache = self.object_cache.lock();
             (
                 object_cache.age(now),
                 object_cache.since(objects, MAX_OBJECT_BYTES),
-                part.and_then(|part| object_cache.part(part, MAX_OBJECT_BYTES)),
+                object_cache.requested_chunks(chunks, MAX_OBJECT_BYTES),
             )
         };
         let mut via = vec![from.member.name.clone()];
@@ -101,7 +95,7 @@
             via,
             objects: changes.entries,
             large: changes.large,
-            part,
+            chunks,
             objects_to: changes.up_to,
             is_complete: changes.is_complete,
             members,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -106,9 +106,9 @@
 pub(crate) use dispatch::Job;
 pub(crate) use engine::{Engine, LegTransport, Workers};
 pub(crate) use fleet::{
-    DecodedObject, Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, LargeObject,
-    Node, NodeSettings, ObjectDecoder, ObjectPart, PartRequest, ReplicaEntry, RouteRequest,
-    RouteResponse, SilenceReport, SilentReplica, Updates,
+    Chunk, DecodedObject, Entry, EntryState, FollowReason, FollowRequest, InstanceRecord,
+    LargeObject, Node, NodeSettings, ObjectDecoder, ReplicaEntry, RouteRequest, RouteResponse,
+    SilenceReport, SilentReplica, Updates,
 };
 pub(crate) use instance::Instance;
 pub(crate) use latency::ClassLatency;
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -5,6 +5,7 @@
 use std::str::FromStr;
 
 use siphasher::sip::SipHasher13;
+use siphasher::sip128::{Hasher128, SipHasher13 as SipHasher13x128};
 
 use super::number::number;
 use super::{ClassName, InstanceName, ParseError};
@@ -151,3 +152,32 @@
             .map_err(|_| ParseError::new("a change id", text, "it is not a hexadecimal number"))
     }
 }
+
+/// Identifies a part of a value by its content, so that equal parts of several versions are one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) struct ChunkId(pub(crate) u128);
+
+impl ChunkId {
+    /// Returns the id of this content.
+    pub(crate) fn of(bytes: &[u8]) -> Self {
+        let mut hasher = SipHasher13x128::new();
+        hasher.write(bytes);
+        Self(hasher.finish128().as_u128())
+    }
+}
+
+impl fmt::Display for ChunkId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for ChunkId {
+    type Err = ParseError;
+
+    fn from_str(text: &str) -> Result<Self, ParseError> {
+        u128::from_str_radix(text, 16)
+            .map(Self)
+            .map_err(|_| ParseError::new("a chunk id", text, "it is not a hexadecimal number"))
+    }
+}
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -17,6 +17,7 @@
 #[cfg(test)]
 mod types_tests;
 
+pub(crate) use id::ChunkId;
 pub use id::{
     CellSeq, ChangeId, ChangeNumber, ConfigVersion, Epoch, Fingerprint, Incarnation, LegId,
     ObjectVersion, Position, QueryId, Revision, ShardId, SnapshotId,
