Let a probe confirm no objects

What callers could see: an instance that is cut off from the store, and whose parent is too, serves an old configuration for as long as it finds instances that it took for gone; nobody who follows it leaves.

Cause: a probe is answered without objects, but with the time at which the store confirmed those of the instance that answers.

Evidence: the case a_probe_without_objects of follow_tests failed before (the age fell), passes now. The case of updates from the parent passes before and after.

--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -131,7 +131,12 @@
             if reason == FollowReason::Follows {
                 judge(node, addr, &updates);
             }
-            Some(apply_updates(node, Progress { sent, ..progress }, *updates))
+            Some(apply_updates(
+                node,
+                reason,
+                Progress { sent, ..progress },
+                *updates,
+            ))
         }
         Ok(_) => None,
         Err(error) => {
@@ -193,7 +198,12 @@
     members.updated(freshness.into(), updates.size());
 }
 
-fn apply_updates(node: &Node, progress: Progress, updates: Updates) -> Progress {
+fn apply_updates(
+    node: &Node,
+    reason: FollowReason,
+    progress: Progress,
+    updates: Updates,
+) -> Progress {
     let now = node.clock.now();
     let me = &node.settings.me.member.name;
     let is_loop = updates.via.contains(me);
@@ -213,13 +223,13 @@
     let is_complete = updates.is_complete;
     let (age, via) = (updates.age, updates.via);
     let has_everything = node.apply_objects(updates.objects, updates.large, &updates.chunks);
-    if let Some(age) = age
-        && !is_loop
-    {
-        node.fleet.lock().on_store_confirmed(now);
-        node.confirm(age, is_complete && has_everything);
-    }
-    if !is_loop {
+    // A probe is answered without objects, so it says nothing of those that are known here.
+    let has_objects = reason != FollowReason::Looks;
+    if has_objects && !is_loop {
+        if let Some(age) = age {
+            node.fleet.lock().on_store_confirmed(now);
+            node.confirm(age, is_complete && has_everything);
+        }
         *node.via.lock() = via;
     }
     Progress {
