Test with many processes that a confirmed configuration is in force in time

The users ran 75 real processes; no test ran more than seven.

And a test that announcements of the version before are refused instead of ignored.

--- a/src/connection/entry_wire.rs
+++ b/src/connection/entry_wire.rs
@@ -153,3 +153,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "entry_wire_tests.rs"]
+mod entry_wire_tests;
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -35,6 +35,7 @@
     pub(crate) addr: SocketAddr,
     fake: Arc<FakePlatform>,
     connections: Arc<Connections>,
+    page_size: usize,
 }
 
 /// Connections are numbered in order of arrival; those below a threshold are silenced or cut.
@@ -48,11 +49,17 @@
 impl Platform {
     /// Starts an empty platform.
     pub(crate) async fn start() -> Self {
+        Self::start_with_pages_of(PAGE_SIZE).await
+    }
+
+    /// Starts an empty platform that lists this many objects a page.
+    pub(crate) async fn start_with_pages_of(page_size: usize) -> Self {
         let (listener, addr) = super::listen().await;
         let platform = Self {
             addr,
             fake: Arc::default(),
             connections: Arc::default(),
+            page_size,
         };
         platform.fake.limit(RATE_LIMITS);
         async_std::task::spawn(platform.clone().accept(listener));
@@ -232,8 +239,8 @@
         let listing = self.fake.list(kind).await?;
         let mut objects = listing.objects;
         objects.retain(|object| name(&object.key) > after.as_str());
-        let more = objects.len() > PAGE_SIZE;
-        objects.truncate(PAGE_SIZE);
+        let more = objects.len() > self.page_size;
+        objects.truncate(self.page_size);
         let items: Vec<Value> = objects.iter().map(object_wire).collect();
         Ok(json!({ "items": items, "more": more, "current_rev": listing.revision.0 }))
     }
