--- a/src/process/fleet/chunks.rs
+++ b/src/process/fleet/chunks.rs
@@ -17,7 +17,6 @@
 /// Small chunks repeat less of what did not change, large ones compress better.
 const AVERAGE_CHUNK_BYTES: usize = 8 << 10;
 const MAX_CHUNK_BYTES: usize = 32 << 10;
-/// Higher levels take more processor time for few bytes less.
 const COMPRESSION_LEVEL: u8 = 4;
 
 /// A chunk as it is sent.
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -50,15 +50,18 @@
         let key = &entry.key;
         let arrived = self.arrived.swap_remove(key);
         let arrived = arrived.filter(|arrived| arrived.version == entry.version);
-        match arrived.or_else(|| self.split(entry)) {
+        let replaced = match arrived.or_else(|| self.split(entry)) {
             Some(held) => self.held.insert(key.clone(), held),
             None => self.held.swap_remove(key),
         };
-        let incoming = self.incoming.get(key);
-        if incoming.is_some_and(|incoming| incoming.version <= entry.version) {
+        let is_needless = |incoming: &LargeObject| incoming.version <= entry.version;
+        let needless = self.incoming.get(key).is_some_and(is_needless);
+        if needless {
             self.incoming.shift_remove(key);
         }
-        self.drop_unused();
+        if needless || replaced.is_some() {
+            self.drop_unused();
+        }
     }
 
     /// Returns the announcement of an entry whose value is sent in chunks.
@@ -85,7 +88,9 @@
         let missing = missing(&self.chunks, &object).count();
         let chunks = object.chunks.len();
         tracing::info!(%key, %version, %size, chunks, missing, "a large object is on its way");
-        self.incoming.insert(key.clone(), object);
+        if self.incoming.insert(key.clone(), object).is_some() {
+            self.drop_unused();
+        }
     }
 
     /// Returns the next chunks to request, if any are missing.
@@ -99,8 +104,8 @@
     /// Stores requested chunks. Returns the entries of the objects that are complete by now.
     pub(super) fn add(&mut self, chunks: &[Chunk]) -> Vec<Entry> {
         for chunk in chunks {
-            let is_missing = |object: &LargeObject| object.chunks.contains(&chunk.id);
-            if self.incoming.values().any(is_missing) {
+            let needs = |object: &LargeObject| object.chunks.contains(&chunk.id);
+            if self.incoming.values().any(needs) {
                 self.chunks.insert(chunk);
             }
         }
--- a/src/process/fleet/shared_link_tests.rs
+++ b/src/process/fleet/shared_link_tests.rs
@@ -151,8 +151,8 @@
     let mut word = || -> String { (0..7).map(|_| rng.random_range('a'..='z')).collect() };
     json!({
         "name": format!("r-{}", word()), "host": format!("{}.example", word()),
-        "path_prefix": format!("/{}/{}/", word(), word()), "route_type": "safe",
-        "timeout_ms": 8000, "target_latency_ms": 800, "priority": 2,
+        "path_begins": format!("/{}/{}/", word(), word()), "repeatable": "safe",
+        "timeout_ms": 8000, "latency_target_ms": 800, "priority": 2,
         "service": word(), "max_attempts": 2,
     })
 }
