--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -88,9 +88,7 @@
         let missing = missing(&self.chunks, &object).count();
         let chunks = object.chunks.len();
         tracing::info!(%key, %version, %size, chunks, missing, "a large object is on its way");
-        if self.incoming.insert(key.clone(), object).is_some() {
-            self.drop_unused();
-        }
+        self.incoming.insert(key.clone(), object);
     }
 
     /// Returns the next chunks to request, if any are missing.
