--- a/src/connection/entry_wire.rs
+++ b/src/connection/entry_wire.rs
@@ -18,7 +18,7 @@
     Held(Vec<u8>),
     Gone,
     Lapsed,
-    /// Only the version before sends this and the next one.
+    /// Only the version before sends `Large` and `Part`.
     Large(u64),
     Part {
         size: u64,
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -39,7 +39,7 @@
     chunks: ChunkStore,
     held: IndexMap<ObjectKey, LargeObject>,
     incoming: IndexMap<ObjectKey, LargeObject>,
-    /// Those that have arrived and are yet to be held.
+    /// Those that have arrived and are yet to be held; their values need not be cut again.
     arrived: IndexMap<ObjectKey, LargeObject>,
 }
 
