Send no request twice on one connection to a replica

Cause: a response names its request but not the sending that it answers. The late copy of a refusal was taken for the answer to the same order's next sending on that connection, which the replica ran.

Why this works: a connection remembers the requests that it has carried until their deadlines, and a request is not sent on one of them again. It takes another idle connection or opens one within the share, for which an idle one is closed if need be. Where a copy arrives on another request's turn, the name differs.

Test: resend_tests.rs, 7 cases over sockets. All 7 failed before the check (6 times "the second sending runs" but is not run, once the first sending's failure) and pass with it.

--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod args;
+mod carried;
 mod directory;
 mod front;
 mod objects;
--- a/src/platform/replica_pool.rs
+++ b/src/platform/replica_pool.rs
@@ -5,6 +5,7 @@
 
 use async_std::future::timeout;
 
+use super::carried::{CarriedRequests, Sending};
 use super::reply::ConnHistory;
 use super::tcp;
 use crate::connection::Http1Conn;
@@ -34,6 +35,7 @@
     conn: Http1Conn,
     until: Timestamp,
     history: ConnHistory,
+    carried: CarriedRequests,
 }
 
 /// A connection that is in use.
@@ -42,6 +44,7 @@
     pub(super) permit: Permit,
     pub(super) conn: Http1Conn,
     pub(super) history: ConnHistory,
+    pub(super) carried: CarriedRequests,
 }
 
 /// A permit to use one connection to a replica, released on drop.
@@ -57,15 +60,48 @@
 
 impl Permit {
     /// Returns the connection to the pool for another leg.
-    pub(super) fn return_connection(self, conn: Http1Conn, until: Timestamp, history: ConnHistory) {
+    pub(super) fn return_connection(
+        self,
+        conn: Http1Conn,
+        until: Timestamp,
+        history: ConnHistory,
+        carried: CarriedRequests,
+    ) {
         self.0.state.lock().idle.push(IdleConn {
             conn,
             until,
             history,
+            carried,
         });
     }
 }
 
+impl IdleConn {
+    /// Whether the response to the sending can be told from a late copy of every earlier one.
+    fn tells_apart(&self, sending: Sending<'_>) -> bool {
+        let is_identified = sending.repeatable || self.history != ConnHistory::Unidentified;
+        is_identified && !self.carried.contains(sending.id)
+    }
+}
+
+impl PoolState {
+    fn take_idle(&mut self, now: Timestamp, sending: Sending<'_>) -> Option<IdleConn> {
+        self.idle.retain(|idle| idle.until > now);
+        let at = self
+            .idle
+            .iter()
+            .rposition(|idle| idle.tells_apart(sending))?;
+        Some(self.idle.swap_remove(at))
+    }
+
+    /// Closes idle connections so that one more connection can be opened.
+    fn make_room(&mut self, max_connections: ConnectionCount) {
+        let others = max_connections.0.saturating_sub(self.in_use + 1);
+        self.idle
+            .truncate(usize::try_from(others).unwrap_or(usize::MAX));
+    }
+}
+
 impl Pool {
     pub(super) fn new(addr: SocketAddr) -> Self {
         Self {
@@ -84,24 +120,23 @@
         !state.idle.is_empty()
     }
 
-    /// Takes an idle connection that is still open, or else opens a new one. A leg that may not be
-    /// repeated is sent on a connection on which its reply can be told from every earlier one.
+    /// Takes an idle connection that is still open and on which the response can be told from every
+    /// earlier one, or else opens a new one.
     pub(super) async fn acquire(
         self: &Arc<Self>,
         now: Timestamp,
         max_connections: ConnectionCount,
-        repeatable: bool,
+        sending: Sending<'_>,
     ) -> Result<PooledConn, LegFailure> {
         loop {
             let idle = {
                 let mut state = self.state.lock();
-                state.idle.retain(|idle| idle.until > now);
-                let is_usable =
-                    |idle: &IdleConn| repeatable || idle.history != ConnHistory::Unidentified;
-                let idle = state.idle.iter().rposition(is_usable);
-                let idle = idle.map(|at| state.idle.swap_remove(at));
-                if idle.is_none() && state.in_use >= max_connections.0 {
-                    return Err(LegFailure::NoShare);
+                let idle = state.take_idle(now, sending);
+                if idle.is_none() {
+                    if state.in_use >= max_connections.0 {
+                        return Err(LegFailure::NoShare);
+                    }
+                    state.make_room(max_connections);
                 }
                 state.in_use += 1;
                 idle
@@ -113,6 +148,7 @@
                         permit,
                         conn: idle.conn,
                         history: idle.history,
+                        carried: idle.carried,
                     });
                 }
                 Some(_) => {}
@@ -128,6 +164,7 @@
                 permit,
                 conn: Http1Conn::new(stream),
                 history: ConnHistory::New,
+                carried: CarriedRequests::default(),
             }),
             Ok(Err(_)) | Err(_) => Err(LegFailure::Unreachable),
         }
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -8,6 +8,7 @@
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
 
+use super::carried::Sending;
 use super::payload::Payload;
 use super::replica_pool::{Pool, PooledConn};
 use super::{reply, signals};
@@ -72,11 +73,17 @@
         })?;
         let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
         let began = self.clock.now();
+        let sending = Sending {
+            id: payload.id,
+            repeatable: leg.repeatable,
+            deadline: began + leg.time_left,
+        };
         let PooledConn {
             permit,
             mut conn,
             history,
-        } = pool.acquire(began, max_connections, leg.repeatable).await?;
+            mut carried,
+        } = pool.acquire(began, max_connections, sending).await?;
         let elapsed = self.clock.now().since(began);
         let left = Span(leg.time_left.0.saturating_sub(elapsed.0));
         if left == Span::ZERO {
@@ -100,8 +107,9 @@
             && !conn.has_buffered_bytes()
             && let Some(history) = reply::history_after(history, &head, &reply_head)
         {
-            let until = self.clock.now() + keep_alive_time(&head);
-            permit.return_connection(conn, until, history);
+            let now = self.clock.now();
+            carried.add(now, sending);
+            permit.return_connection(conn, now + keep_alive_time(&head), history, carried);
         }
         Ok(LegReply {
             query: leg.query,
@@ -155,3 +163,7 @@
 #[cfg(test)]
 #[path = "replicas_tests.rs"]
 mod replicas_tests;
+
+#[cfg(test)]
+#[path = "resend_tests.rs"]
+mod resend_tests;
--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -136,7 +136,7 @@
     }
 }
 
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub(super) async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
     let mut byte = [0; 1];
     while !text.ends_with("\r\n\r\n") {
@@ -152,6 +152,11 @@
     id: &str,
     repeatable: bool,
 ) -> Result<LegReply, LegFailure> {
+    let leg = leg(addr, id, repeatable);
+    transport.call(leg, ConnectionCount(2)).await.outcome
+}
+
+pub(super) fn leg(addr: SocketAddr, id: &str, repeatable: bool) -> LegRequest {
     let fields = [("Host", "h"), ("Request-Id", id)].map(|(name, value)| httparse::Header {
         name,
         value: value.as_bytes(),
@@ -162,7 +167,7 @@
         is_http10: false,
         fields: Fields::from(&fields[..]),
     };
-    let leg = LegRequest {
+    LegRequest {
         query: QueryId(7),
         leg: LegId(3),
         upstream: Arc::new(UpstreamSpec {
@@ -181,8 +186,7 @@
         extra: None,
         time_left: Span::from_secs(5),
         body: payload::encode(&head, id, b"").unwrap(),
-    };
-    transport.call(leg, ConnectionCount(2)).await.outcome
+    }
 }
 
 /// Guards against an answer that broke off on its way and is passed on as a complete one.
