Count open connections in a test by what the kernel knows

within_the_share_of_connections of resend_tests failed in two successive runs of the platform tests, after two that passed: two connections at once where one is allowed. Cause: the test counted a connection as open until the task that serves it had noticed its end, which may be after the next one was accepted. The transport closes the old connection before it opens the new one.

Now each accepted connection is asked whether the other side has closed it.

--- a/src/platform/resend_tests.rs
+++ b/src/platform/resend_tests.rs
@@ -11,6 +11,7 @@
 use async_std::task::{block_on, sleep, spawn};
 use futures::future::join_all;
 use rstest::rstest;
+use rustix::net::{RecvFlags, recv};
 
 use super::ReplicaTransport;
 use super::replicas_tests::{leg, read_request};
@@ -97,26 +98,32 @@
 #[derive(Default)]
 struct Conns {
     opened: AtomicUsize,
-    open: AtomicUsize,
     most_open: AtomicUsize,
     /// How often the request "one" was received.
     sendings: AtomicUsize,
 }
 
 async fn accept(listener: TcpListener, first: &'static str, conns: Arc<Conns>) {
+    let mut streams: Vec<TcpStream> = Vec::new();
     loop {
         let (stream, _) = listener.accept().await.unwrap();
+        streams.retain(is_open);
+        streams.push(stream.clone());
         conns.opened.fetch_add(1, Ordering::Relaxed);
-        let open = conns.open.fetch_add(1, Ordering::Relaxed) + 1;
-        conns.most_open.fetch_max(open, Ordering::Relaxed);
+        conns.most_open.fetch_max(streams.len(), Ordering::Relaxed);
         let conns = Arc::clone(&conns);
-        spawn(async move {
-            serve(stream, first, &conns).await;
-            conns.open.fetch_sub(1, Ordering::Relaxed);
-        });
+        spawn(async move { serve(stream, first, &conns).await });
     }
 }
 
+/// Whether the other side has not closed the connection; the task that serves it may not have
+/// noticed yet.
+fn is_open(stream: &TcpStream) -> bool {
+    let mut byte = [0; 1];
+    let received = recv(stream, &mut byte, RecvFlags::PEEK | RecvFlags::DONTWAIT);
+    !matches!(received, Ok((_, 0)))
+}
+
 /// Sends `first` for the request "one", and a copy of it before the response to its next sending
 /// on the same connection.
 async fn serve(mut stream: TcpStream, first: &str, conns: &Conns) -> Option<()> {
