Close a connection after a refusal that does not name its request

What callers saw: a request that may be repeated could be answered 503, which says that it has not run, while it ran.

After a refusal without a name its connection still carried requests that may be repeated, and the copy of the refusal was taken for the next one's.

Why this works: no connection is kept on which a response came without a name, so a refusal without one is only ever the first and only response since the last named one.

Test: two cases in replicas_tests.rs (refusal_before_a_read, misdirected_before_a_read) failed before ("shed of a leg that ran", "draining of a leg that ran") and pass now. Price: one connection for such a refusal, none where replicas keep to the protocol.

--- a/src/platform/carried.rs
+++ b/src/platform/carried.rs
@@ -6,16 +6,6 @@
 
 use crate::types::Timestamp;
 
-/// A request that is to be sent, for the first time or again.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Sending<'a> {
-    /// The caller's id of the request.
-    pub(super) id: &'a str,
-    pub(super) repeatable: bool,
-    /// The time after which the request is not sent again.
-    pub(super) deadline: Timestamp,
-}
-
 /// The requests that a connection has carried and that may be sent again.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CarriedRequests(Vec<(Box<str>, Timestamp)>);
@@ -26,8 +16,9 @@
         self.0.iter().any(|(carried, _)| **carried == *id)
     }
 
-    pub(super) fn add(&mut self, now: Timestamp, sending: Sending<'_>) {
+    /// Adds a request that is not sent again after its deadline.
+    pub(super) fn add(&mut self, now: Timestamp, id: &str, deadline: Timestamp) {
         self.0.retain(|(_, deadline)| *deadline > now);
-        self.0.push((sending.id.into(), sending.deadline));
+        self.0.push((id.into(), deadline));
     }
 }
--- a/src/platform/replica_pool.rs
+++ b/src/platform/replica_pool.rs
@@ -5,7 +5,7 @@
 
 use async_std::future::timeout;
 
-use super::carried::{CarriedRequests, Sending};
+use super::carried::CarriedRequests;
 use super::reply::ConnHistory;
 use super::tcp;
 use crate::connection::Http1Conn;
@@ -76,21 +76,12 @@
     }
 }
 
-impl IdleConn {
-    /// Whether the response to the sending can be told from a late copy of every earlier one.
-    fn tells_apart(&self, sending: Sending<'_>) -> bool {
-        let is_identified = sending.repeatable || self.history != ConnHistory::Unidentified;
-        is_identified && !self.carried.contains(sending.id)
-    }
-}
-
 impl PoolState {
-    fn take_idle(&mut self, now: Timestamp, sending: Sending<'_>) -> Option<IdleConn> {
+    /// Takes an idle connection that has not carried the request.
+    fn take_idle(&mut self, now: Timestamp, id: &str) -> Option<IdleConn> {
         self.idle.retain(|idle| idle.until > now);
-        let at = self
-            .idle
-            .iter()
-            .rposition(|idle| idle.tells_apart(sending))?;
+        let mut idle = self.idle.iter();
+        let at = idle.rposition(|idle| !idle.carried.contains(id))?;
         Some(self.idle.swap_remove(at))
     }
 
@@ -120,18 +111,18 @@
         !state.idle.is_empty()
     }
 
-    /// Takes an idle connection that is still open and on which the response can be told from every
-    /// earlier one, or else opens a new one.
+    /// Takes an idle connection that is still open and has not carried the request, so that the
+    /// response can be told from every earlier one, or else opens a new one.
     pub(super) async fn acquire(
         self: &Arc<Self>,
         now: Timestamp,
         max_connections: ConnectionCount,
-        sending: Sending<'_>,
+        id: &str,
     ) -> Result<PooledConn, LegFailure> {
         loop {
             let idle = {
                 let mut state = self.state.lock();
-                let idle = state.take_idle(now, sending);
+                let idle = state.take_idle(now, id);
                 if idle.is_none() {
                     if state.in_use >= max_connections.0 {
                         return Err(LegFailure::NoShare);
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -8,7 +8,6 @@
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
 
-use super::carried::Sending;
 use super::payload::Payload;
 use super::replica_pool::{Pool, PooledConn};
 use super::{reply, signals};
@@ -73,17 +72,12 @@
         })?;
         let pool = self.pool(&leg.upstream.name, leg.upstream.addr);
         let began = self.clock.now();
-        let sending = Sending {
-            id: payload.id,
-            repeatable: leg.repeatable,
-            deadline: began + leg.time_left,
-        };
         let PooledConn {
             permit,
             mut conn,
             history,
             mut carried,
-        } = pool.acquire(began, max_connections, sending).await?;
+        } = pool.acquire(began, max_connections, payload.id).await?;
         let elapsed = self.clock.now().since(began);
         let left = Span(leg.time_left.0.saturating_sub(elapsed.0));
         if left == Span::ZERO {
@@ -105,10 +99,10 @@
         let reply_head = reply::validate(&head, payload.id, history);
         if !head.closes()
             && !conn.has_buffered_bytes()
-            && let Some(history) = reply::history_after(history, &head, &reply_head)
+            && let Some(history) = reply::history_after(&head, &reply_head)
         {
             let now = self.clock.now();
-            carried.add(now, sending);
+            carried.add(now, payload.id, began + leg.time_left);
             permit.return_connection(conn, now + keep_alive_time(&head), history, carried);
         }
         Ok(LegReply {
--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -65,6 +65,8 @@
 #[case::unnamed_in_chunks(Case { first: UNNAMED_IN_CHUNKS, copied: Copied::BeforeTheNext, repeatable: true, is_answered: true })]
 #[case::refusal_before_an_order(Case { first: REFUSAL, copied: Copied::BeforeTheNext, repeatable: false, is_answered: true })]
 #[case::refusal_while_idle(Case { first: REFUSAL, copied: Copied::WhileIdle, repeatable: false, is_answered: true })]
+#[case::refusal_before_a_read(Case { first: REFUSAL, copied: Copied::BeforeTheNext, repeatable: true, is_answered: true })]
+#[case::misdirected_before_a_read(Case { first: MISDIRECTED, copied: Copied::BeforeTheNext, repeatable: true, is_answered: true })]
 #[case::misdirected_before_an_order(Case { first: MISDIRECTED, copied: Copied::BeforeTheNext, repeatable: false, is_answered: true })]
 fn a_late_copy_is_not_the_next_response(#[case] case: Case) {
     block_on(async {
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -23,25 +23,17 @@
     New,
     /// All named their request, so that a copy of one names another request than the next.
     Identified,
-    /// Some refusal did not name its request, so that the next refusal may be its copy.
-    Unidentified,
 }
 
-/// Returns the history after a response, or nothing if the connection is not used again.
+/// Returns the history after a response, or nothing if the connection is not used again. A copy of
+/// a response that does not name its request could be taken for the next one.
 pub(super) fn history_after(
-    history: ConnHistory,
     head: &ResponseHead,
     validated: &Result<ReplyHead, LegFailure>,
 ) -> Option<ConnHistory> {
     let is_identified = head.fields.has(REQUEST_ID);
-    match validated {
-        Err(LegFailure::Mangled) => None,
-        // A copy could be taken for the next answer.
-        Ok(_) if !is_identified => None,
-        Err(_) if !is_identified => Some(ConnHistory::Unidentified),
-        _ if history == ConnHistory::Unidentified => Some(ConnHistory::Unidentified),
-        _ => Some(ConnHistory::Identified),
-    }
+    let is_mangled = matches!(validated, Err(LegFailure::Mangled));
+    (is_identified && !is_mangled).then_some(ConnHistory::Identified)
 }
 
 /// Whether the response comes from the replica that the request was sent to, so that what it says
