Take a store's reply to a write only if it shows that write

Found while looking for siblings of the order that ran twice: replies of the store name no call, so the late copy of an earlier reply could settle a write that had not taken effect, such as the claim of an order of `hyssopwalk serve`.

The reply to a write has to show the written object, at a version after the expected one, or at the same version with the same content, since a write that changes nothing leaves the version as it is. Otherwise the outcome is unknown and the object is read. A copy of a read or of a refusal of a write can still not be told; the refusal only makes the writer read the object.

Test: a_late_copy_of_an_earlier_reply_does_not_settle_a_write, three copies. It failed before ("of the write before: ObjectVersion(5)") and passes now.

--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -12,8 +12,8 @@
 
 use super::store_connections::{Reply, StoreConnections};
 use super::store_wire::{
-    EventsWire, PageWire, WriteMetaWire, WriteWire, add_page, decode_changes, decode_instances,
-    decode_object, protocol_error, text,
+    EventsWire, PageWire, WriteMetaWire, WriteWire, add_page, check_written, decode_changes,
+    decode_instances, decode_object, protocol_error, text,
 };
 use crate::process::{
     CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
@@ -152,7 +152,9 @@
             if reply.status == 404 {
                 return Err(PlatformError::Conflict);
             }
-            decode_object(kind, raw_json(&reply.body)?).map(|object| object.version)
+            let written = decode_object(kind, raw_json(&reply.body)?)?;
+            check_written(&written, key, &value, expected)?;
+            Ok(written.version)
         })
     }
 
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -5,7 +5,9 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::process::{Change, Changes, ListedInstance, Listing, Object, ObjectKey, PlatformError};
+use crate::process::{
+    Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, PlatformError,
+};
 use crate::types::{ObjectVersion, Revision};
 
 /// A page of the objects of one kind.
@@ -128,6 +130,36 @@
     })
 }
 
+/// Checks that a reply shows the object as this write left it. Replies do not say which call they
+/// answer, so it may be the late copy of an earlier one.
+///
+/// # Errors
+/// [`PlatformError::Protocol`] if the reply is not to this write, whose outcome is then unknown.
+pub(super) fn check_written(
+    written: &Object,
+    key: &ObjectKey,
+    value: &[u8],
+    expected: Expected,
+) -> Result<(), PlatformError> {
+    let is_written = match expected {
+        Expected::Absent => true,
+        // A write that changes nothing leaves the version as it is.
+        Expected::Version(version) if written.version == version => {
+            has_same_json(&written.value, value)
+        }
+        Expected::Version(version) => written.version > version,
+    };
+    if written.key != *key || !is_written {
+        return Err(protocol_error("the reply to a write shows another object"));
+    }
+    Ok(())
+}
+
+fn has_same_json(one: &[u8], two: &[u8]) -> bool {
+    let parse = |json| serde_json::from_slice::<serde_json::Value>(json).ok();
+    parse(one).is_some_and(|json| Some(json) == parse(two))
+}
+
 /// Adds a page to a listing; objects that cannot be decoded are skipped and logged.
 pub(super) fn add_page(listing: &mut Listing, kind: &str, page: &PageWire<'_>) {
     for raw in &page.items {
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -7,7 +7,8 @@
 
 use async_std::io::{ReadExt, WriteExt};
 use hyssopwalk::{
-    CallRates, Expected, ObjectKey, ObjectStore, PerSecond, Platform, PlatformError, Span,
+    CallRates, Expected, ObjectKey, ObjectStore, ObjectVersion, PerSecond, Platform, PlatformError,
+    Span,
 };
 use serde_json::json;
 use standin::contract::UNLIMITED_RATES;
@@ -265,6 +266,56 @@
     addr
 }
 
+struct LateCopy {
+    name: &'static str,
+    /// The reply to the call before, which is sent once more before that to the write.
+    earlier: &'static str,
+}
+
+/// Guards against the late copy of an earlier reply that is taken for the reply to a write, which
+/// then seems to have taken effect.
+#[async_std::test]
+async fn a_late_copy_of_an_earlier_reply_does_not_settle_a_write() {
+    let copies = [
+        LateCopy {
+            name: "of the write before",
+            earlier: r#"{"meta":{"name":"a","revision":5},"spec":1}"#,
+        },
+        LateCopy {
+            name: "of a read of an older version",
+            earlier: r#"{"meta":{"name":"a","revision":4},"spec":2}"#,
+        },
+        LateCopy {
+            name: "of a write of another object",
+            earlier: r#"{"meta":{"name":"b","revision":9},"spec":2}"#,
+        },
+    ];
+    for copy in copies {
+        let addr = serve_copies(copy.earlier).await;
+        let client = ObjectStore::new(addr, UNLIMITED_RATES);
+        let key = key();
+        client.get(&key).await.unwrap();
+        let expected = Expected::Version(ObjectVersion(5));
+        let written = client.put(&key, b"2".to_vec(), expected).await;
+        let error = written.expect_err(copy.name);
+        assert!(!error.had_no_effect(), "{}: {error}", copy.name);
+    }
+}
+
+/// Answers the first call on each connection with `earlier`, and each later one with it again.
+async fn serve_copies(earlier: &'static str) -> SocketAddr {
+    let (listener, addr) = listen().await;
+    async_std::task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = [0; 1024];
+            while stream.read(&mut buf).await.is_ok_and(|count| count > 0) {
+                stream.write_all(&body(earlier)).await.ok();
+            }
+        }
+    });
+    addr
+}
+
 #[async_std::test]
 #[ignore = "measurement that prints the cost of a call over a kept and over a new connection"]
 async fn cost_of_a_call() {
