Limit the headers of HTTP/2 messages

Found while looking for bytes without end: headers without end on a connection of another instance were kept up to the library's 16 MB, before the connection had proved its key, so a few dozen such connections filled the memory of a small machine. Heads of upstreams of `hyssopwalk serve` had the same limit.

All three HTTP/2 readers now state and keep 16 KB.

Test: header_fields_without_end_close_the_connection. It failed before (16,777,216 bytes were taken, the most that the test sends) and passes now.

--- a/src/connection/conn.rs
+++ b/src/connection/conn.rs
@@ -11,6 +11,7 @@
 use h2::client::{self, SendRequest};
 use tokio_util::bytes::Bytes;
 
+use super::MAX_HEADER_LIST_BYTES;
 use super::backoff::ConnectionOutcome;
 use super::heartbeat::Health;
 use super::leg_wire::{self, LegStreamError};
@@ -61,7 +62,9 @@
             opened_at.since(connect_started),
         ));
         let watched_stream = WatchedStream::new(stream, Arc::clone(&state));
-        let (sender, connection) = client::handshake(TokioStream::new(watched_stream))
+        let (sender, connection) = client::Builder::new()
+            .max_header_list_size(MAX_HEADER_LIST_BYTES)
+            .handshake(TokioStream::new(watched_stream))
             .await
             .ok()?;
         async_std::task::spawn(watch(connection, Arc::clone(&state), addr));
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -46,6 +46,8 @@
 #[cfg(test)]
 mod cost_tests;
 #[cfg(test)]
+mod endless_h2_tests;
+#[cfg(test)]
 mod endless_tests;
 #[cfg(test)]
 mod heartbeat_tests;
@@ -73,6 +75,9 @@
 pub(crate) use peer::Peers;
 pub(crate) use peer_server::{PeerRequestHandler, accept as accept_peers};
 
+/// The longest header list of an HTTP/2 message. The library's own limit is many megabytes.
+const MAX_HEADER_LIST_BYTES: u32 = 16 << 10;
+
 pub use address_api::{AddressWire, AddressesWire, CellStatusWire, MemberStatusWire, MembersWire};
 pub use operator_wire::{
     AcceptedWire, AuditWire, ClassListWire, IndexStatusWire, RefusedChangeWire, StatusWire,
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -17,6 +17,7 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use super::MAX_HEADER_LIST_BYTES;
 use super::peer_auth::{self, Side, Transcript};
 use super::peer_wire::{
     self, ChallengeWire, HelloWire, MAX_HELLO_BYTES, MAX_MESSAGE_BYTES, PROTOCOL, PeerRequestWire,
@@ -117,7 +118,10 @@
     async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
-        let (sender, connection) = client::handshake(stream.compat()).await?;
+        let (sender, connection) = client::Builder::new()
+            .max_header_list_size(MAX_HEADER_LIST_BYTES)
+            .handshake(stream.compat())
+            .await?;
         async_std::task::spawn(async move {
             if let Err(error) = connection.await {
                 tracing::debug!(%error, %addr, "the connection to a peer instance failed");
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -13,6 +13,7 @@
 use tokio_util::bytes::Bytes;
 use tokio_util::compat::FuturesAsyncReadCompatExt;
 
+use super::MAX_HEADER_LIST_BYTES;
 use super::listener::serve_each;
 use super::peer::{self, HELLO_PATH, PROOF_PATH, REQUEST_PATH};
 use super::peer_auth::{self, Side, Transcript};
@@ -61,6 +62,7 @@
 async fn serve(handler: Arc<impl PeerRequestHandler>, stream: TcpStream) {
     let handshake = server::Builder::new()
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(MAX_HEADER_LIST_BYTES)
         .handshake::<_, Bytes>(stream.compat());
     let Ok(Ok(mut connection)) = timeout(AUTHENTICATION_TIMEOUT.as_duration(), handshake).await
     else {
