--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -12,8 +12,8 @@
 use std::time::Instant;
 
 use hyssopwalk::{
-    Action, Class, Event, Index, LegReply, ObjectVersion, Query, QueryId, Ratio, Snapshot, Span,
-    Targets, Timestamp,
+    Action, Body, Class, Event, Index, LegReply, ObjectVersion, Query, QueryId, Ratio, Snapshot,
+    Span, Targets, Timestamp,
 };
 use sized::{REPLICAS_PER_SHARD, index_wire};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
@@ -183,7 +183,7 @@
                     snapshot: leg.snapshot,
                     range: leg.range,
                     head: None,
-                    body: Vec::new(),
+                    body: Body::default(),
                 };
                 let event = Event::Reply(leg.leg, reply);
                 next.extend(query.on_event(&mut tables.context(reply_at), event));
--- a/examples/model/baseline.rs
+++ b/examples/model/baseline.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use hyssopwalk::{
-    Action, Answer, Coverage, Event, LegId, LegRequest, Part, QueryId, Snapshot, Span, Timestamp,
-    UpstreamName,
+    Action, Answer, Body, Coverage, Event, LegId, LegRequest, Part, QueryId, Snapshot, Span,
+    Timestamp, UpstreamName,
 };
 use rand::Rng;
 use rand::rngs::SmallRng;
@@ -168,7 +168,7 @@
                 shard: shard.id,
                 range: shard.range,
                 head: None,
-                body: Vec::new(),
+                body: Body::default(),
             })
             .collect();
         let coverage: Coverage = parts.iter().map(|part| part.range).collect();
--- a/examples/model/simulation.rs
+++ b/examples/model/simulation.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use hyssopwalk::{
-    Action, Class, Event, LegFailure, LegId, LegReply, LegRequest, Snapshot, Span, Timestamp,
+    Action, Body, Class, Event, LegFailure, LegId, LegReply, LegRequest, Snapshot, Span, Timestamp,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -288,7 +288,7 @@
             snapshot: sent.snapshot,
             range: sent.range,
             head: None,
-            body: Vec::new(),
+            body: Body::default(),
         };
         let at = self.now + self.delay(leg.0, replica);
         self.schedule(at, ModelEvent::Deliver(leg.0, Event::Reply(leg.1, reply)));
--- a/src/connection/endless_tests.rs
+++ b/src/connection/endless_tests.rs
@@ -68,7 +68,10 @@
 fn endless_bytes_end_with_an_error(#[case] case: Case) {
     block_on(async {
         let mut conn = endless(&case).await;
-        let reading = conn.exchange(b"GET / HTTP/1.1\r\n\r\n", MAX_BODY_BYTES);
+        let reading = async {
+            let head = conn.send(b"GET / HTTP/1.1\r\n\r\n", b"").await?;
+            conn.body(head.framing()?, MAX_BODY_BYTES).await
+        };
         let read = timeout(READ_WITHIN.as_duration(), reading).await;
         let error = read.expect("the reader gives up by itself").unwrap_err();
         assert!(format!("{error:?}").starts_with(case.end), "{error:?}");
--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -12,9 +12,13 @@
 use rustix::net::{RecvFlags, recv};
 
 use super::http1_head::{Fields, Framing, RequestHead, ResponseHead};
+use crate::process::Reservation;
+use crate::request::Body;
 
 /// A typical reply fits into one read.
-const READ_BYTES: usize = 4 << 10;
+pub(super) const READ_BYTES: usize = 4 << 10;
+/// A large body is read in pieces of up to this size, as long as they arrive at once.
+const MAX_READ_BYTES: usize = 64 << 10;
 const MAX_HEADERS: usize = 64;
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
 
@@ -40,6 +44,9 @@
     /// The body exceeds the size limit.
     #[error("the body is too large")]
     BodyTooLarge,
+    /// Other messages hold so much memory that none is left for this one.
+    #[error("no memory is left for the message")]
+    OutOfMemory,
 }
 
 /// An HTTP/1.1 connection with a buffer of received bytes that are not yet consumed.
@@ -47,6 +54,14 @@
 pub(crate) struct Http1Conn {
     stream: TcpStream,
     pub(super) buf: Vec<u8>,
+    /// How many bytes at the front of the buffer belong to messages that were read.
+    pub(super) consumed: usize,
+    /// How many bytes the next read asks for.
+    read_bytes: usize,
+    /// The memory of a body that is being read beside the buffer.
+    pub(super) moved: usize,
+    /// The memory of both, unless it is not limited.
+    pub(super) memory: Option<Reservation>,
     read_timeout: Option<Duration>,
 }
 
@@ -55,6 +70,10 @@
         Self {
             stream,
             buf: Vec::new(),
+            consumed: 0,
+            read_bytes: READ_BYTES,
+            moved: 0,
+            memory: None,
             read_timeout: None,
         }
     }
@@ -72,7 +91,7 @@
 
     /// Whether bytes were received beyond the messages read so far.
     pub(crate) fn has_buffered_bytes(&self) -> bool {
-        !self.buf.is_empty()
+        !self.unread().is_empty()
     }
 
     /// Whether the connection is open and nothing arrived on it: an idle one on which the other
@@ -140,26 +159,19 @@
         .await
     }
 
-    /// Sends a request and reads the whole response, with a body of at most `max_bytes`.
-    ///
-    /// # Errors
-    /// Any [`HttpError`].
-    pub(crate) async fn exchange(
-        &mut self,
-        text: &[u8],
-        max_bytes: usize,
-    ) -> Result<(ResponseHead, Vec<u8>), HttpError> {
-        let head = self.send(text).await?;
-        let body = self.body(head.framing()?, max_bytes).await?;
-        Ok((head, body))
-    }
-
     /// Sends a request and reads the head of the response.
     ///
     /// # Errors
     /// Any [`HttpError`] except `BodyTooLarge`.
-    pub(crate) async fn send(&mut self, text: &[u8]) -> Result<ResponseHead, HttpError> {
-        self.write(text).await?;
+    pub(crate) async fn send(
+        &mut self,
+        head: &[u8],
+        body: &[u8],
+    ) -> Result<ResponseHead, HttpError> {
+        self.write(head).await?;
+        if !body.is_empty() {
+            self.write(body).await?;
+        }
         self.response(MAX_RESPONSE_HEAD_BYTES).await
     }
 
@@ -170,14 +182,14 @@
     ) -> Result<T, HttpError> {
         let mut started = self.has_buffered_bytes();
         loop {
-            if started && let Some((len, head)) = parse(&self.buf)? {
+            if started && let Some((len, head)) = parse(self.unread())? {
                 if len > max_bytes {
                     return Err(HttpError::HeadTooLarge);
                 }
-                self.buf.drain(..len);
+                self.consume(len);
                 return Ok(head);
             }
-            if self.buf.len() >= max_bytes {
+            if self.unread().len() >= max_bytes {
                 return Err(HttpError::HeadTooLarge);
             }
             if self.fill().await? == 0 {
@@ -199,30 +211,35 @@
         &mut self,
         framing: Framing,
         max_bytes: usize,
-    ) -> Result<Vec<u8>, HttpError> {
-        match framing {
+    ) -> Result<Body, HttpError> {
+        let bytes = match framing {
             Framing::Length(len) => {
                 let len = usize::try_from(len).unwrap_or(usize::MAX);
                 if len > max_bytes {
                     return Err(HttpError::BodyTooLarge);
                 }
                 self.fill_to(len).await?;
-                Ok(self.buf.drain(..len).collect())
+                let mut body = Vec::new();
+                self.move_to(&mut body, len)?;
+                body
             }
-            Framing::Chunked => self.read_chunks(max_bytes).await,
+            Framing::Chunked => self.read_chunks(max_bytes).await?,
             Framing::UntilClose => {
                 while self.fill().await? > 0 {
-                    if self.buf.len() > max_bytes {
+                    if self.unread().len() > max_bytes {
                         return Err(HttpError::BodyTooLarge);
                     }
                 }
-                Ok(std::mem::take(&mut self.buf))
+                let mut body = Vec::new();
+                self.move_to(&mut body, self.unread().len())?;
+                body
             }
-        }
+        };
+        self.finish(bytes)
     }
 
     pub(super) async fn fill_to(&mut self, len: usize) -> Result<(), HttpError> {
-        while self.buf.len() < len {
+        while self.unread().len() < len {
             self.fill_more().await?;
         }
         Ok(())
@@ -236,13 +253,18 @@
     }
 
     async fn fill(&mut self) -> Result<usize, HttpError> {
-        let mut chunk = vec![0; READ_BYTES];
+        let mut chunk = vec![0; self.read_bytes];
         let reading = self.stream.read(&mut chunk);
         let count = match self.read_timeout {
             Some(limit) => async_std::io::timeout(limit, reading).await?,
             None => reading.await?,
         };
-        self.buf.extend_from_slice(&chunk[..count]);
+        self.read_bytes = if count == chunk.len() {
+            MAX_READ_BYTES.min(count * 2)
+        } else {
+            READ_BYTES
+        };
+        self.receive(&chunk[..count])?;
         Ok(count)
     }
 }
--- a/src/connection/http1_chunks.rs
+++ b/src/connection/http1_chunks.rs
@@ -5,6 +5,7 @@
 const MAX_TRAILER_BYTES: usize = 16 << 10;
 /// The maximum length of a chunk's size line.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+const LINE_END_BYTES: usize = 2;
 
 impl Http1Conn {
     /// Reads a chunked body of at most `max_bytes` bytes, and the trailer after it.
@@ -22,24 +23,24 @@
             if body.len() + len > max_bytes {
                 return Err(HttpError::BodyTooLarge);
             }
-            self.fill_to(len + 2).await?;
-            if &self.buf[len..len + 2] != b"\r\n" {
+            self.fill_to(len + LINE_END_BYTES).await?;
+            if &self.unread()[len..len + LINE_END_BYTES] != b"\r\n" {
                 return Err(HttpError::Malformed("a chunk does not match its size"));
             }
-            body.extend_from_slice(&self.buf[..len]);
-            self.buf.drain(..len + 2);
+            self.move_to(&mut body, len)?;
+            self.consume(LINE_END_BYTES);
         }
     }
 
     async fn read_chunk_len(&mut self) -> Result<usize, HttpError> {
         loop {
-            let parsed = httparse::parse_chunk_size(&self.buf);
+            let parsed = httparse::parse_chunk_size(self.unread());
             match parsed.map_err(|_| HttpError::Malformed("a chunk size is invalid"))? {
                 httparse::Status::Complete((consumed, len)) => {
-                    self.buf.drain(..consumed);
+                    self.consume(consumed);
                     return Ok(usize::try_from(len).unwrap_or(usize::MAX / 2));
                 }
-                httparse::Status::Partial if self.buf.len() > MAX_CHUNK_LINE_BYTES => {
+                httparse::Status::Partial if self.unread().len() > MAX_CHUNK_LINE_BYTES => {
                     return Err(HttpError::Malformed("a chunk size line is too long"));
                 }
                 httparse::Status::Partial => self.fill_more().await?,
@@ -51,14 +52,15 @@
     async fn skip_trailer(&mut self) -> Result<(), HttpError> {
         let mut skipped = 0;
         loop {
-            if skipped + self.buf.len() > MAX_TRAILER_BYTES {
+            if skipped + self.unread().len() > MAX_TRAILER_BYTES {
                 return Err(HttpError::Malformed("the trailer is too long"));
             }
-            let Some(at) = self.buf.windows(2).position(|bytes| bytes == b"\r\n") else {
+            let mut pairs = self.unread().windows(2);
+            let Some(at) = pairs.position(|bytes| bytes == b"\r\n") else {
                 self.fill_more().await?;
                 continue;
             };
-            self.buf.drain(..at + 2);
+            self.consume(at + 2);
             skipped += at + 2;
             if at == 0 {
                 return Ok(());
--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -6,13 +6,14 @@
 
 use super::HttpError;
 use crate::connection::sent;
+use crate::request::Body;
 
 const MAX_HEAD_BYTES: usize = 512;
 const MAX_BODY_BYTES: usize = 64;
 
 /// Reads responses from a peer that sends `bytes` and closes. Returns the body of each
 /// response, and the final error.
-fn responses(bytes: &'static [u8]) -> Vec<Result<Vec<u8>, HttpError>> {
+fn responses(bytes: &'static [u8]) -> Vec<Result<Body, HttpError>> {
     block_on(async {
         let mut conn = sent(bytes).await;
         let mut read = Vec::new();
@@ -87,7 +88,10 @@
 fn responses_are_read_whole_or_rejected(#[case] case: Case) {
     let mut read = responses(case.sent);
     let end = read.pop().unwrap().unwrap_err();
-    let bodies: Vec<Vec<u8>> = read.into_iter().map(Result::unwrap).collect();
+    let bodies: Vec<Vec<u8>> = read
+        .into_iter()
+        .map(|body| body.unwrap().to_vec())
+        .collect();
     assert_eq!(bodies, case.bodies);
     let end = format!("{end:?}");
     assert!(end.starts_with(case.end), "{end}");
--- a/src/connection/leg_wire.rs
+++ b/src/connection/leg_wire.rs
@@ -102,7 +102,7 @@
         snapshot: parse_header(headers, SNAPSHOT_HEADER)?,
         range: parse_header(headers, RANGE_HEADER)?,
         head: None,
-        body,
+        body: body.into(),
     })
 }
 
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -20,6 +20,7 @@
 mod http1;
 mod http1_chunks;
 mod http1_head;
+mod http1_memory;
 #[cfg(test)]
 mod http1_samples;
 mod leg_wire;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -31,8 +31,8 @@
     Suspects, Ticket, Upstreams,
 };
 pub use request::{
-    Action, Answer, Context, Event, LegFailure, LegReply, LegRequest, Part, Query, QueryOptions,
-    QueryRequest, ReplyHead,
+    Action, Answer, Body, Context, Event, LegFailure, LegReply, LegRequest, Part, Query,
+    QueryOptions, QueryRequest, ReplyHead,
 };
 pub use types::{
     ByteCount, CallerName, CellSeq, ChangeId, ChangeNumber, ClassName, ConfigVersion,
--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -3,7 +3,7 @@
 use super::payload::REQUEST_ID;
 use crate::error::{ErrorKind, Ran, Refusal};
 use crate::process::RouteResponse;
-use crate::request::{Part, ReplyHead};
+use crate::request::{Body, Part};
 use crate::types::Span;
 
 /// Header with the proofs of the replicas whose records the answer contains.
@@ -27,7 +27,7 @@
 pub(super) struct Response {
     status: u16,
     fields: Vec<(String, Vec<u8>)>,
-    body: Vec<u8>,
+    body: Body,
 }
 
 impl Response {
@@ -36,7 +36,7 @@
         Self {
             status,
             fields: id.into_iter().collect(),
-            body: Vec::new(),
+            body: Body::default(),
         }
     }
 
@@ -52,7 +52,7 @@
 
     fn with_body(mut self, kind: &str, body: String) -> Self {
         self.add_field("Content-Type", kind);
-        self.body = body.into_bytes();
+        self.body = body.into_bytes().into();
         self
     }
 
@@ -86,7 +86,7 @@
 }
 
 /// Returns the response for an answered request.
-pub(super) fn answer_response(answer: &RouteResponse, id: Option<&str>) -> Response {
+pub(super) fn answer_response(answer: RouteResponse, id: Option<&str>) -> Response {
     match answer {
         RouteResponse::Gathered {
             records,
@@ -96,20 +96,23 @@
             let mut response = Response::new(200, id);
             response.add_field(PROOFS_HEADER, &proofs.join(", "));
             response.add_field(MISSING_HEADER, &missing.to_string());
-            response.body.clone_from(records);
+            response.body = records.into();
             response
         }
-        RouteResponse::Passed(part) => upstream_response(part),
+        RouteResponse::Passed(part) => upstream_response(*part),
     }
 }
 
 /// Returns a replica's own response unchanged.
-fn upstream_response(part: &Part) -> Response {
-    let head: Option<&ReplyHead> = part.head.as_deref();
+fn upstream_response(part: Part) -> Response {
+    let (status, fields) = match part.head {
+        Some(head) => (head.status, head.fields),
+        None => (502, Vec::new()),
+    };
     Response {
-        status: head.map_or(502, |head| head.status),
-        fields: head.map(|head| head.fields.clone()).unwrap_or_default(),
-        body: part.body.clone(),
+        status,
+        fields,
+        body: part.body,
     }
 }
 
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -17,7 +17,7 @@
     Accepting, bind, listen_for_signals, log_to_stdout, run_node_until_stopped, set_io_threads,
 };
 use crate::connection;
-use crate::process::{CallRates, Clock, Engine, Node, NodeSettings, Workers};
+use crate::process::{CallRates, Clock, Engine, MemoryBudget, Node, NodeSettings, Workers};
 
 /// The command-line arguments of an instance on the platform.
 #[derive(Clone, Debug)]
@@ -61,7 +61,9 @@
         None => None,
     };
     let clock = Clock::new();
-    let transport = Box::new(ReplicaTransport::new(clock));
+    let replies = MemoryBudget::new(settings.message_memory);
+    let requests = MemoryBudget::new(settings.message_memory);
+    let transport = Box::new(ReplicaTransport::new(clock, replies));
     let engine = Engine::start(clock, transport, Workers::Connections)?;
     let store = Arc::new(ObjectStore::new(
         wire.platform.address,
@@ -77,13 +79,21 @@
     );
     tracing::info!(%name, "started");
     spawn(connection::accept_peers(Arc::clone(&node), peer_listener));
-    spawn(directory::accept(Arc::clone(&node), ready_listener));
-    spawn(directory::accept(Arc::clone(&node), directory_listener));
-    if let Some(metrics_listener) = metrics_listener {
-        spawn(directory::accept(Arc::clone(&node), metrics_listener));
+    let directory_listeners = [
+        Some(ready_listener),
+        Some(directory_listener),
+        metrics_listener,
+    ];
+    for listener in directory_listeners.into_iter().flatten() {
+        spawn(directory::accept(
+            Arc::clone(&node),
+            listener,
+            Arc::clone(&requests),
+        ));
     }
-    let accepting =
-        Accepting::start(|stopped| front::accept(Arc::clone(&node), caller_listener, stopped));
+    let accepting = Accepting::start(|stopped| {
+        front::accept(Arc::clone(&node), caller_listener, requests, stopped)
+    });
     spawn(reload::watch_settings(
         Arc::clone(&node),
         path,
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -4,13 +4,13 @@
 use std::sync::Arc;
 
 use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use percent_encoding::percent_decode_str;
 use serde::Serialize;
 
 use super::answer::Response;
 use crate::connection::{Http1Conn, serve_each};
-use crate::process::{CallerLocation, Node};
+use crate::process::{CallerLocation, MemoryBudget, Node};
 use crate::types::Span;
 
 const RESOLVE_PATH: &str = "/api/resolve";
@@ -32,12 +32,12 @@
 }
 
 /// Accepts connections until the process ends.
-pub(super) async fn accept(node: Arc<Node>, listener: TcpListener) {
-    serve_each(listener, |stream| serve(Arc::clone(&node), stream)).await;
+pub(super) async fn accept(node: Arc<Node>, listener: TcpListener, memory: Arc<MemoryBudget>) {
+    let serve = |stream| serve(Arc::clone(&node), Http1Conn::with_budget(stream, &memory));
+    serve_each(listener, serve).await;
 }
 
-async fn serve(node: Arc<Node>, stream: TcpStream) {
-    let mut conn = Http1Conn::new(stream);
+async fn serve(node: Arc<Node>, mut conn: Http1Conn) {
     loop {
         let Ok(Ok(req)) = timeout(IDLE_TIMEOUT.as_duration(), conn.request(MAX_HEAD_BYTES)).await
         else {
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -3,14 +3,15 @@
 use std::sync::Arc;
 
 use async_std::future::timeout;
-use async_std::net::{TcpListener, TcpStream};
+use async_std::net::TcpListener;
 use async_std::task::sleep;
 
 use super::answer;
 use super::payload::{self, DEADLINE, REQUEST_ID};
 use crate::connection::{DisconnectWatch, Http1Conn, HttpError, RequestHead, serve_until};
 use crate::error::{ErrorKind, Refusal};
-use crate::process::{Engine, Node, RouteRequest, RouteResponse};
+use crate::process::{Engine, MemoryBudget, Node, RouteRequest, RouteResponse};
+use crate::request::Body;
 use crate::types::{Fingerprint, QueryId, Span};
 use crate::version::CallerLimits;
 
@@ -22,22 +23,22 @@
 /// A caller's request, completely read.
 struct CallerRequest {
     head: RequestHead,
-    body: Vec<u8>,
+    body: Body,
 }
 
 /// Accepts callers' connections until `stopped` completes.
 pub(super) async fn accept(
     node: Arc<Node>,
     listener: TcpListener,
+    memory: Arc<MemoryBudget>,
     stopped: impl Future<Output = ()>,
 ) {
-    let serve = |stream| serve(Arc::clone(&node), stream);
+    let serve = |stream| serve(Arc::clone(&node), Http1Conn::with_budget(stream, &memory));
     serve_until(listener, stopped, serve).await;
 }
 
 /// Serves one connection until either side closes it.
-async fn serve(node: Arc<Node>, stream: TcpStream) {
-    let mut conn = Http1Conn::new(stream);
+async fn serve(node: Arc<Node>, mut conn: Http1Conn) {
     loop {
         let limits = node.catalog().table.limits;
         if !wait_for_request(&mut conn, limits).await {
@@ -58,6 +59,7 @@
         Ok(Some(req)) => handle(node, conn, req).await,
         Ok(None) => false,
         Err(refusal) => {
+            conn.clear();
             let response = answer::refusal_response(&refusal, None);
             write(conn, &response.render(true)).await;
             sleep(LINGER.as_duration()).await;
@@ -100,6 +102,7 @@
     let kind = match error {
         HttpError::HeadTooLarge => ErrorKind::HeadTooLarge,
         HttpError::BodyTooLarge => ErrorKind::TooLarge,
+        HttpError::OutOfMemory => ErrorKind::Overloaded,
         _ => ErrorKind::BadRequest,
     };
     Refusal::new(kind, error.to_string())
@@ -115,10 +118,14 @@
 /// Answers one request; returns whether the connection can serve another.
 async fn handle(node: &Arc<Node>, conn: &mut Http1Conn, req: CallerRequest) -> bool {
     let began = node.clock.now();
-    let id = req.head.fields.get(REQUEST_ID).map(str::to_owned);
+    let CallerRequest { head, body } = req;
+    let id = head.fields.get(REQUEST_ID).map(str::to_owned);
     let disconnect_watch = DisconnectWatch::new(conn.stream().clone());
     let query = Engine::query_id();
-    let outcome = match prepare(&req, query) {
+    let prepared = prepare(&head, &body, query);
+    // The legs carry the body in a form of their own, for which its memory stays reserved.
+    let _memory = body.into_memory();
+    let outcome = match prepared {
         Ok(request) => {
             node.answer(request, Box::pin(disconnect_watch.wait()))
                 .await
@@ -131,19 +138,19 @@
     {
         let id = id.as_deref().unwrap_or_default();
         let version = node.catalog().table.version;
-        tracing::info!(id, %query, target = req.head.target, %version, %took, left_out = suppressed, "{}", describe(&outcome));
+        tracing::info!(id, %query, target = head.target, %version, %took, left_out = suppressed, "{}", describe(&outcome));
     }
-    let response = match &outcome {
+    let response = match outcome {
         Ok(answer) => answer::answer_response(answer, id.as_deref()),
-        Err(refusal) => answer::refusal_response(refusal, id.as_deref()),
+        Err(refusal) => answer::refusal_response(&refusal, id.as_deref()),
     };
-    let closes = req.head.closes() || node.shutdown.lock().closes_connections();
+    let closes = head.closes() || node.shutdown.lock().closes_connections();
     write(conn, &response.render(closes)).await && !closes
 }
 
-fn prepare(req: &CallerRequest, query: QueryId) -> Result<RouteRequest, Refusal> {
+fn prepare(head: &RequestHead, body: &[u8], query: QueryId) -> Result<RouteRequest, Refusal> {
     let bad = |detail: &str| Refusal::new(ErrorKind::BadRequest, detail);
-    let fields = &req.head.fields;
+    let fields = &head.fields;
     let id = fields
         .get(REQUEST_ID)
         .ok_or_else(|| bad("the request has no Request-Id header"))?;
@@ -155,15 +162,15 @@
         .map(|text| text.trim().parse().map(Span::from_millis))
         .transpose()
         .map_err(|_| bad("Deadline-Ms is not a number of milliseconds"))?;
-    let path = req.head.target.split('?').next().unwrap_or_default();
-    let body = payload::encode(&req.head, id, &req.body)
+    let path = head.target.split('?').next().unwrap_or_default();
+    let payload = payload::encode(head, id, body)
         .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
     Ok(RouteRequest {
         query,
         host: host.to_ascii_lowercase(),
         path: path.to_owned(),
-        fingerprint: Fingerprint::of_request(&req.head.method, &req.head.target, &req.body),
-        body,
+        fingerprint: Fingerprint::of_request(&head.method, &head.target, body),
+        body: payload,
         time_left,
     })
 }
--- a/src/platform/payload.rs
+++ b/src/platform/payload.rs
@@ -28,7 +28,7 @@
     #[serde(borrow)]
     head: &'a [u8],
     #[serde(borrow)]
-    body: &'a [u8],
+    pub(super) body: &'a [u8],
 }
 
 /// A payload could not be decoded. Payloads are encoded by the same process, so this is a bug in
@@ -82,8 +82,8 @@
         Ok(payload)
     }
 
-    /// Returns the HTTP request for one replica.
-    pub(super) fn render(&self, upstream: &UpstreamName, time_left: Span) -> Vec<u8> {
+    /// Returns the head of the HTTP request for one replica.
+    pub(super) fn head(&self, upstream: &UpstreamName, time_left: Span) -> Vec<u8> {
         let mut own_headers = String::with_capacity(96);
         let left = time_left.as_millis().max(1);
         let id = replica_id(upstream);
@@ -93,7 +93,7 @@
             "{DEADLINE}: {left}\r\n{EXPECT_INSTANCE}: {id}\r\n\r\n"
         )
         .ok();
-        [self.head, own_headers.as_bytes(), self.body].concat()
+        [self.head, own_headers.as_bytes()].concat()
     }
 }
 
--- a/src/platform/payload_tests.rs
+++ b/src/platform/payload_tests.rs
@@ -47,6 +47,7 @@
 fn requests_are_forwarded_with_own_headers(#[case] case: Case) {
     let payload = encode(&parse(case.sent), "1", case.body.as_bytes()).unwrap();
     let payload = Payload::decode(&payload).unwrap();
-    let sent = payload.render(&"i-1:17".parse().unwrap(), Span::from_millis(700));
+    let sent = payload.head(&"i-1:17".parse().unwrap(), Span::from_millis(700));
+    let sent = [sent.as_slice(), payload.body].concat();
     assert_eq!(String::from_utf8(sent).unwrap(), case.wanted);
 }
--- a/src/platform/replica_pool.rs
+++ b/src/platform/replica_pool.rs
@@ -9,7 +9,7 @@
 use super::reply::ConnHistory;
 use super::tcp;
 use crate::connection::Http1Conn;
-use crate::process::{Rank, Ranked};
+use crate::process::{MemoryBudget, Rank, Ranked};
 use crate::request::LegFailure;
 use crate::types::{ConnectionCount, Span, Timestamp};
 
@@ -21,6 +21,8 @@
 #[derive(Debug)]
 pub(super) struct Pool {
     addr: SocketAddr,
+    /// The memory for replies of all replicas.
+    memory: Arc<MemoryBudget>,
     state: Ranked<PoolState>,
 }
 
@@ -94,9 +96,10 @@
 }
 
 impl Pool {
-    pub(super) fn new(addr: SocketAddr) -> Self {
+    pub(super) fn new(addr: SocketAddr, memory: Arc<MemoryBudget>) -> Self {
         Self {
             addr,
+            memory,
             state: Ranked::new(Rank::Link, PoolState::default()),
         }
     }
@@ -153,7 +156,7 @@
         match timeout(CONNECT_TIMEOUT.as_duration(), connecting).await {
             Ok(Ok(stream)) => Ok(PooledConn {
                 permit,
-                conn: Http1Conn::new(stream),
+                conn: Http1Conn::with_budget(stream, &self.memory),
                 history: ConnHistory::New,
                 carried: CarriedRequests::default(),
             }),
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -12,8 +12,8 @@
 use super::replica_pool::{Pool, PooledConn};
 use super::{reply, signals};
 use crate::connection::{HttpError, ResponseHead};
-use crate::process::{Clock, LegResult, LegTransport, Rank, Ranked, UpstreamSignals};
-use crate::request::{LegFailure, LegReply, LegRequest};
+use crate::process::{Clock, LegResult, LegTransport, MemoryBudget, Rank, Ranked, UpstreamSignals};
+use crate::request::{Body, LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, Span, UpstreamName};
 
 /// Extra wait after the time that the replica was given, in which its own timeout response may
@@ -24,8 +24,7 @@
 /// An idle connection is kept for this many quarters of the time that its replica states, so that
 /// the replica does not close it at the moment when a request is sent.
 const KEEP_ALIVE_QUARTERS: u64 = 3;
-/// The platform's values have at most a megabyte. Many replicas at once may send bodies without
-/// end, which all have to fit into the memory of a small machine.
+/// The platform's values have at most a megabyte.
 const MAX_REPLY_BYTES: usize = 1 << 20;
 /// From this number of pools on, unused ones (of replicas that are gone) are dropped before a new
 /// one is added.
@@ -35,13 +34,16 @@
 #[derive(Debug)]
 pub(super) struct ReplicaTransport {
     clock: Clock,
+    memory: Arc<MemoryBudget>,
     pools: Ranked<IndexMap<UpstreamName, Arc<Pool>>>,
 }
 
 impl ReplicaTransport {
-    pub(super) fn new(clock: Clock) -> Self {
+    /// Creates a transport whose replies take their memory from `memory`.
+    pub(super) fn new(clock: Clock, memory: Arc<MemoryBudget>) -> Self {
         Self {
             clock,
+            memory,
             pools: Ranked::new(Rank::Links, IndexMap::new()),
         }
     }
@@ -55,7 +57,7 @@
             let now = self.clock.now();
             pools.retain(|_, pool| Arc::strong_count(pool) > 1 || pool.has_idle(now));
         }
-        let pool = Arc::new(Pool::new(addr));
+        let pool = Arc::new(Pool::new(addr, Arc::clone(&self.memory)));
         pools.insert(name.clone(), Arc::clone(&pool));
         pool
     }
@@ -83,20 +85,25 @@
         if left == Span::ZERO {
             return Err(LegFailure::Unreachable);
         }
-        let request = payload.render(&leg.upstream.name, left);
+        let head = payload.head(&leg.upstream.name, left);
         let reply_timeout = Span(left.0 + REPLY_SLACK.0);
-        let exchanged = timeout(
-            reply_timeout.as_duration(),
-            conn.exchange(&request, MAX_REPLY_BYTES),
-        )
-        .await;
-        let (head, body) = exchanged
+        let exchanging = async {
+            let head = conn.send(&head, payload.body).await?;
+            if reply::is_from_upstream(&head, payload.id) {
+                *signals = Some(signals::decode(&head));
+            }
+            let reply_head = reply::validate(&head, payload.id, history);
+            // What follows is of no use, and may have no end.
+            if reply_head == Err(LegFailure::Mangled) {
+                return Ok((head, reply_head, Body::default()));
+            }
+            let body = conn.body(head.framing()?, MAX_REPLY_BYTES).await?;
+            Ok((head, reply_head, body))
+        };
+        let (head, reply_head, body) = timeout(reply_timeout.as_duration(), exchanging)
+            .await
             .map_err(|_| LegFailure::OutOfTime)?
-            .map_err(|error| leg_failure(&error))?;
-        if reply::is_from_upstream(&head, payload.id) {
-            *signals = Some(signals::decode(&head));
-        }
-        let reply_head = reply::validate(&head, payload.id, history);
+            .map_err(|error: HttpError| leg_failure(&error))?;
         if !head.closes()
             && !conn.has_buffered_bytes()
             && let Some(history) = reply::history_after(&head, &reply_head)
@@ -135,6 +142,7 @@
 fn leg_failure(error: &HttpError) -> LegFailure {
     match error {
         HttpError::Io(_) | HttpError::Closed => LegFailure::Lost,
+        HttpError::OutOfMemory => LegFailure::NoMemory,
         HttpError::Truncated
         | HttpError::Malformed(_)
         | HttpError::HeadTooLarge
--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -14,11 +14,15 @@
 use crate::connection::{Fields, RequestHead};
 use crate::error::Ran;
 use crate::platform::payload;
-use crate::process::{Clock, LegTransport};
+use crate::process::{Clock, LegTransport, MemoryBudget};
 use crate::request::{LegFailure, LegReply, LegRequest};
-use crate::types::{ConnectionCount, LegId, QueryId, ShardId, SlotCount, SnapshotId, Span};
+use crate::types::{
+    ByteCount, ConnectionCount, LegId, QueryId, ShardId, SlotCount, SnapshotId, Span,
+};
 use crate::version::UpstreamSpec;
 
+pub(super) const MEMORY: ByteCount = ByteCount(20 << 20);
+
 /// When the copy of the first response is sent.
 #[derive(Clone, Copy, Debug)]
 enum Copied {
@@ -73,13 +77,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         spawn(accept(listener, case.first, case.copied));
-        let transport = ReplicaTransport::new(Clock::new());
+        let transport = ReplicaTransport::new(Clock::new(), MemoryBudget::new(MEMORY));
         call(&transport, addr, "one", true).await.ok();
         sleep(Duration::from_millis(60)).await;
         let second = call(&transport, addr, "two", case.repeatable).await;
         match second {
             Ok(reply) => {
-                assert_eq!(reply.body, b"two", "the answer belongs to another request");
+                assert_eq!(
+                    *reply.body, *b"two",
+                    "the answer belongs to another request"
+                );
                 assert!(case.is_answered);
             }
             Err(failure) => {
@@ -211,7 +218,7 @@
         });
         for cut in 0..=last {
             // A connection for each call, since the last one may be kept.
-            let transport = ReplicaTransport::new(Clock::new());
+            let transport = ReplicaTransport::new(Clock::new(), MemoryBudget::new(MEMORY));
             let reply = call(&transport, addr, "two", true).await;
             assert_eq!(reply.is_ok(), cut == last, "cut after {cut} bytes");
             if let Err(failure) = reply {
--- a/src/platform/resend_tests.rs
+++ b/src/platform/resend_tests.rs
@@ -14,10 +14,10 @@
 use rustix::net::{RecvFlags, recv};
 
 use super::ReplicaTransport;
-use super::replicas_tests::{leg, read_request};
+use super::replicas_tests::{MEMORY, leg, read_request};
 use crate::error::Ran;
-use crate::process::{Clock, LegTransport};
-use crate::request::LegFailure;
+use crate::process::{Clock, LegTransport, MemoryBudget};
+use crate::request::{Body, LegFailure};
 use crate::types::ConnectionCount;
 
 struct Case {
@@ -67,7 +67,7 @@
         let addr = listener.local_addr().unwrap();
         let conns = Arc::new(Conns::default());
         spawn(accept(listener, case.first, Arc::clone(&conns)));
-        let transport = ReplicaTransport::new(Clock::new());
+        let transport = ReplicaTransport::new(Clock::new(), MemoryBudget::new(MEMORY));
         let send = |id: String| send(&transport, addr, id, &case);
         join_all((0..case.open).map(|at| send(format!("open{at}")))).await;
         send("one".to_owned()).await.ok();
@@ -77,7 +77,7 @@
         let second = send("one".to_owned()).await;
         let ran = second.as_ref().map_err(|failure| failure.ran());
         assert_ne!(ran, Err(Ran::NotRun), "the second sending runs");
-        assert_eq!(second.unwrap(), b"the answer to the second sending");
+        assert_eq!(*second.unwrap(), *b"the answer to the second sending");
         assert_eq!(conns.opened.load(Ordering::Relaxed), case.opened);
         let most = conns.most_open.load(Ordering::Relaxed);
         assert!(most <= case.max_connections as usize, "{most} at once");
@@ -89,7 +89,7 @@
     addr: SocketAddr,
     id: String,
     case: &Case,
-) -> Result<Vec<u8>, LegFailure> {
+) -> Result<Body, LegFailure> {
     let leg = leg(addr, &id, case.repeatable);
     let called = transport.call(leg, ConnectionCount(case.max_connections));
     called.await.outcome.map(|reply| reply.body)
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,13 +9,16 @@
 use serde::Deserialize;
 
 use crate::process::{InstanceRecord, Member, MemberState, NodeSettings, RetryLimits, StopTimes};
-use crate::types::{Incarnation, PeerKey, Ratio, Span};
+use crate::types::{ByteCount, Incarnation, PeerKey, Ratio, Span};
 
 /// Callers cache an address answer for this long, and some for three times as long.
 const ADDRESS_TTL: Span = Span::from_secs(2);
 /// The part of the grace period (from the stop signal to the forced kill) that is kept as a margin.
 const KILL_MARGIN: Span = Span::from_millis(700);
 const MIN_DRAIN: Span = Span::from_millis(200);
+/// The part of the memory that callers' requests may hold, and as much again for replies. A message
+/// is held in two forms for a moment, and most of the memory is left for everything else.
+const MESSAGE_MEMORY_DIVISOR: u64 = 8;
 
 /// The platform's settings that are used; unknown fields are ignored.
 #[derive(Clone, Debug)]
@@ -64,6 +67,8 @@
 struct LimitsWire {
     cpu_share: f64,
     cores: u32,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: u64,
 }
 
 /// The platform's bounds on the process; unknown fields are ignored.
@@ -95,6 +100,11 @@
     }
 }
 
+/// The least memory of a machine that the platform's pages name.
+fn default_memory_mb() -> u64 {
+    160
+}
+
 /// Reads the settings file.
 ///
 /// # Errors
@@ -149,6 +159,7 @@
                 min_drain: MIN_DRAIN,
                 max_drain: Span(max_drain),
             },
+            message_memory: ByteCount((wire.limits.memory_mb << 20) / MESSAGE_MEMORY_DIVISOR),
         })
     }
 }
--- a/src/platform/store_connections.rs
+++ b/src/platform/store_connections.rs
@@ -12,6 +12,7 @@
 use super::tcp;
 use crate::connection::{Http1Conn, HttpError, ResponseHead};
 use crate::process::{CallBucket, CallRates, PlatformError, Rank, Ranked};
+use crate::request::Body;
 
 /// The time until the head of a response: the store responds in milliseconds, or in a few hundred
 /// when it is slow.
@@ -33,14 +34,14 @@
 const MAX_IDLE_FOR_WRITES: Duration = Duration::from_secs(1);
 /// One connection for each prefix that an instance watches, and as many for its other calls.
 const MAX_IDLE_CONNECTIONS: usize = 8;
-/// The store sends at most about a megabyte.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// The store sends at most about a megabyte, in JSON that may escape some of it.
+const MAX_BODY_BYTES: usize = 4 << 20;
 
 /// A complete reply of the store.
 #[derive(Debug)]
 pub(super) struct Reply {
     pub(super) status: u16,
-    pub(super) body: Vec<u8>,
+    pub(super) body: Body,
 }
 
 /// Rate-limited calls to one store over persistent connections.
@@ -147,7 +148,7 @@
         request: &str,
         time_limit: Duration,
     ) -> Result<Reply, ExchangeError> {
-        let head = timeout(time_limit, conn.send(request.as_bytes()))
+        let head = timeout(time_limit, conn.send(request.as_bytes(), b""))
             .await
             .map_err(|_| ExchangeError::TimedOut)?
             .map_err(|error| ExchangeError::Broken(error.to_string()))?;
@@ -178,7 +179,7 @@
 
 /// Reads a body as long as it makes progress. A value of the maximum size takes longer to arrive
 /// over a slow link than the store takes to respond.
-async fn read_body(conn: &mut Http1Conn, head: &ResponseHead) -> Result<Vec<u8>, HttpError> {
+async fn read_body(conn: &mut Http1Conn, head: &ResponseHead) -> Result<Body, HttpError> {
     conn.set_read_timeout(Some(BODY_READ_TIMEOUT));
     let body = conn.body(head.framing()?, MAX_BODY_BYTES).await;
     conn.set_read_timeout(None);
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -16,7 +16,7 @@
 use crate::process::instance_count::InstanceCount;
 use crate::process::shutdown::{Shutdown, StopTimes};
 use crate::process::{CallerLocation, Catalog, Clock, Engine, Platform, Rank, Ranked, RetryLimits};
-use crate::types::{InstanceName, PeerKey, RouteName, Span, Timestamp};
+use crate::types::{ByteCount, InstanceName, PeerKey, RouteName, Span, Timestamp};
 
 /// How long the limits still count an instance that is gone, since it may only be cut off.
 const COUNT_GONE_FOR: Span = Span::from_secs(20);
@@ -43,6 +43,8 @@
     pub(crate) peer_key: PeerKey,
     pub(crate) repeats: RetryLimits,
     pub(crate) stop: StopTimes,
+    /// The memory for the requests of all callers, and as much for the replies of all upstreams.
+    pub(crate) message_memory: ByteCount,
 }
 
 /// Everything that lives as long as the process.
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -188,7 +188,7 @@
         );
         return Err(Refusal::new(ErrorKind::OutOfTime, detail));
     }
-    let bodies = answer.parts.iter().map(|part| part.body.as_slice());
+    let bodies = answer.parts.iter().map(|part| &*part.body);
     let proof = |part: &Part| part.head.as_ref().and_then(|head| head.proof.clone());
     Ok(RouteResponse::Gathered {
         records: merge_top_records(bodies, gather.max_records),
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -182,6 +182,7 @@
             min_drain: Span::from_secs(1),
             max_drain: Span::from_secs(1),
         },
+        message_memory: ByteCount(20 << 20),
     };
     let clock = Clock::new();
     let engine = Engine::start(clock, Box::new(NoUpstreams), Workers::Connections).unwrap();
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -35,6 +35,7 @@
 mod log_rate;
 mod member_metrics;
 mod members;
+mod memory;
 mod metrics;
 mod operate;
 mod orders;
@@ -117,6 +118,7 @@
 #[cfg(test)]
 pub(crate) use members::{Members, Timing};
 pub(crate) use members::{Readiness, Role};
+pub(crate) use memory::{MemoryBudget, OutOfMemory, Reservation};
 pub(crate) use metrics::Metrics;
 pub(crate) use peer_messages::{
     CellDelta, Heartbeat, HeartbeatReply, PeerRequest, PeerResponse, SeenInstance,
--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -257,7 +257,7 @@
             LegFailure::NoShare => {
                 self.backoff_until = self.backoff_until.max(now + CONNECTION_SHARE_BACKOFF);
             }
-            LegFailure::SnapshotGone | LegFailure::Silent => {}
+            LegFailure::SnapshotGone | LegFailure::Silent | LegFailure::NoMemory => {}
         }
     }
 
--- a/src/request/answer.rs
+++ b/src/request/answer.rs
@@ -1,6 +1,6 @@
 //! The answer to one request.
 
-use super::ReplyHead;
+use super::{Body, ReplyHead};
 use crate::types::{Coverage, KeyRange, QueryId, ShardId, SnapshotId, Span};
 
 /// The parts that the shards of one snapshot returned, and the keys that they cover.
@@ -32,7 +32,7 @@
     /// The status and headers of the upstream's reply, if its protocol has them.
     pub head: Option<Box<ReplyHead>>,
     /// The body of the upstream's reply, forwarded without parsing.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 impl Part {
--- a/src/request/harness_tests.rs
+++ b/src/request/harness_tests.rs
@@ -200,7 +200,9 @@
             snapshot: leg.snapshot,
             range: leg.range,
             head: None,
-            body: format!("{} {}", leg.snapshot, leg.range).into_bytes(),
+            body: format!("{} {}", leg.snapshot, leg.range)
+                .into_bytes()
+                .into(),
         }
     }
 
--- a/src/request/leg.rs
+++ b/src/request/leg.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::sync::Arc;
 
+use super::Body;
 use crate::error::Ran;
 use crate::process::ExtraLeg;
 use crate::types::{KeyRange, LegId, QueryId, ShardId, SnapshotId, Span, Timestamp};
@@ -47,7 +48,7 @@
     /// Status and headers, if the upstream's protocol has them.
     pub head: Option<Box<ReplyHead>>,
     /// The body of the reply.
-    pub body: Vec<u8>,
+    pub body: Body,
 }
 
 /// Status and headers of a reply. Only front ends read the proof and the fields.
@@ -92,6 +93,8 @@
     Mangled,
     /// The upstream reported an error.
     Failed,
+    /// This instance had no memory left for the reply.
+    NoMemory,
 }
 
 impl LegFailure {
@@ -104,9 +107,12 @@
             | Self::Shed
             | Self::Draining
             | Self::SnapshotGone => Ran::NotRun,
-            Self::OutOfTime | Self::Lost | Self::Silent | Self::Mangled | Self::Failed => {
-                Ran::MayHaveRun
-            }
+            Self::OutOfTime
+            | Self::Lost
+            | Self::Silent
+            | Self::Mangled
+            | Self::Failed
+            | Self::NoMemory => Ran::MayHaveRun,
         }
     }
 
@@ -124,6 +130,7 @@
             Self::Silent => "silent",
             Self::Mangled => "mangled",
             Self::Failed => "failed",
+            Self::NoMemory => "no-memory",
         }
     }
 }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,6 +5,7 @@
 
 mod admit;
 mod answer;
+mod body;
 mod context;
 mod crashes;
 mod extra;
@@ -39,6 +40,7 @@
 mod stated_room_tests;
 
 pub use answer::{Answer, Part};
+pub use body::Body;
 pub use context::{Action, Context, Event};
 pub use leg::{LegFailure, LegReply, LegRequest, ReplyHead};
 pub use options::QueryOptions;
--- a/src/request/query_tests.rs
+++ b/src/request/query_tests.rs
@@ -32,14 +32,14 @@
 fn a_reply_that_does_not_match_its_leg_never_enters_the_answer(#[case] case: Mismatch) {
     let mut harness = Harness::start(Setup::default());
     let mut reply = harness.valid_reply(0);
-    reply.body = b"foreign".to_vec();
+    reply.body = b"foreign".to_vec().into();
     (case.change)(&mut reply);
     harness.step(Some(Event::Reply(LegId(0), reply)));
     assert_eq!(harness.sent.len(), 3, "another leg is sent to the shard");
     harness.reply(1);
     harness.reply(2);
     let answer = harness.answer();
-    assert!(answer.parts.iter().all(|part| part.body != b"foreign"));
+    assert!(answer.parts.iter().all(|part| *part.body != *b"foreign"));
     assert!(answer.coverage.is_complete());
 }
 
@@ -55,14 +55,14 @@
 fn a_reply_to_a_leg_that_is_not_in_flight_changes_nothing(#[case] case: Late) {
     let mut harness = Harness::start(Setup::default());
     let mut late = harness.valid_reply(0);
-    late.body = b"late".to_vec();
+    late.body = b"late".to_vec().into();
     (case.before)(&mut harness);
     harness.step(Some(Event::Reply(case.leg, late)));
     for at in 0..harness.sent.len() {
         harness.reply(at);
     }
     let answer = harness.answer();
-    assert!(answer.parts.iter().all(|part| part.body != b"late"));
+    assert!(answer.parts.iter().all(|part| *part.body != *b"late"));
     assert_eq!(answer.parts.len(), 2);
 }
 
--- a/src/request/shard.rs
+++ b/src/request/shard.rs
@@ -1,6 +1,6 @@
 //! The state of one shard of one query: the replicas tried and what it waits for.
 
-use super::{QueryOptions, ReplyHead};
+use super::{Body, QueryOptions, ReplyHead};
 use crate::process::ExtraLeg;
 use crate::types::{LegId, Timestamp};
 
@@ -34,7 +34,7 @@
     /// At least one leg is in flight.
     InFlight,
     /// The reply of the shard.
-    Replied(Option<Box<ReplyHead>>, Vec<u8>),
+    Replied(Option<Box<ReplyHead>>, Body),
     /// No reply is expected any more.
     Abandoned,
 }
--- a/src/request/simulation_checks_tests.rs
+++ b/src/request/simulation_checks_tests.rs
@@ -62,7 +62,7 @@
         for part in &answer.parts {
             let wanted = body(answer.query, answer.snapshot, part.range);
             self.check(
-                part.body == wanted,
+                *part.body == *wanted,
                 "a part holds the body of another reply",
             );
             self.check(
--- a/src/request/simulation_tests.rs
+++ b/src/request/simulation_tests.rs
@@ -280,7 +280,7 @@
             ending,
             Ending::Complete | Ending::Duplicated | Ending::SwappedWith(..)
         ) {
-            reply.body = b"of another reply".to_vec();
+            reply.body = b"of another reply".to_vec().into();
         }
         self.queries[at].legs[leg_at].open = false;
         self.step(at, Some(Event::Reply(id, reply)));
@@ -360,7 +360,7 @@
         snapshot: req.snapshot,
         range: req.range,
         head: None,
-        body: body(req.query, req.snapshot, req.range),
+        body: body(req.query, req.snapshot, req.range).into(),
     }
 }
 
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -28,6 +28,29 @@
 /// Number of records in a gathered answer.
 pub(crate) const TOP_K: usize = 10;
 
+/// How large a deployment is.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sizes {
+    pub(crate) instances: usize,
+    /// The requests that a replica runs at the same time.
+    pub(crate) slots: u32,
+    /// The memory of each instance's machine.
+    pub(crate) memory_mb: u32,
+    /// The longest body that a caller may send.
+    pub(crate) max_body_bytes: usize,
+}
+
+impl Default for Sizes {
+    fn default() -> Self {
+        Self {
+            instances: INSTANCES,
+            slots: 2,
+            memory_mb: 260,
+            max_body_bytes: 65_536,
+        }
+    }
+}
+
 /// An instance that runs as a child process.
 #[derive(Debug)]
 pub(crate) struct Instance {
@@ -53,12 +76,17 @@
     pub(crate) replicas: Vec<ProxiedReplica>,
     pub(crate) runs: Runs,
     pub(crate) version: u64,
+    sizes: Sizes,
     /// The incarnation number of the replica started last.
     last_incarnation: u64,
 }
 
 impl Deployment {
     pub(crate) async fn start(name: &str) -> Self {
+        Self::start_sized(name, Sizes::default()).await
+    }
+
+    pub(crate) async fn start_sized(name: &str, sizes: Sizes) -> Self {
         let store = Platform::start().await;
         let store_addr = store.addr;
         let runs: Runs = Arc::new(Mutex::new(Vec::new()));
@@ -68,6 +96,7 @@
             replicas: Vec::new(),
             runs,
             version: 0,
+            sizes,
             last_incarnation: 1,
         };
         let services = SHARD_SETS
@@ -81,15 +110,15 @@
             }
         }
         deployment.change_config();
-        let addrs = free_addrs(INSTANCES * 4);
-        for at in 0..INSTANCES {
+        let addrs = free_addrs(sizes.instances * 4);
+        for at in 0..sizes.instances {
             let proxy = Proxy::start(store_addr).await;
-            let seeds: Vec<String> = (0..INSTANCES)
+            let seeds: Vec<String> = (0..sizes.instances)
                 .map(|seed| addrs[seed * 4 + 2].to_string())
                 .collect();
             let own_addrs = &addrs[at * 4..at * 4 + 4];
             let key = format!("the instances of {name} in process {}", std::process::id());
-            let settings = settings(at, own_addrs, &seeds, proxy.addr, &key);
+            let settings = settings(at, own_addrs, &seeds, proxy.addr, &key, sizes.memory_mb);
             let path = std::env::temp_dir().join(format!(
                 "hyssopwalk-soak-{}-{name}-{at}.json",
                 std::process::id()
@@ -112,7 +141,8 @@
         let id = format!("i-{}", self.last_incarnation);
         let replica = Replica::start(service, &id, self.last_incarnation, &self.runs).await;
         let proxy = Proxy::start(replica.addr).await;
-        let entry = replica.entry(proxy.addr, "ready");
+        let mut entry = replica.entry(proxy.addr, "ready");
+        entry["slots"] = json!(self.sizes.slots);
         self.store.set(&format!("servers/{id}"), entry);
         self.replicas.push(ProxiedReplica { replica, proxy });
     }
@@ -174,7 +204,7 @@
         let config = json!({
             "version": self.version, "routes": [gather, one, order], "services": services,
             "limits": {
-                "max_header_bytes": 16384, "max_body_bytes": 65536,
+                "max_header_bytes": 16384, "max_body_bytes": self.sizes.max_body_bytes,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
         });
@@ -220,6 +250,11 @@
         panics.map(str::to_owned).collect()
     }
 
+    #[allow(dead_code, reason = "only tests/endless_bytes.rs uses it")]
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.as_ref().expect("the process was started").id()
+    }
+
     /// Whether the process has exited.
     pub(crate) fn has_exited(&mut self) -> bool {
         let child = self.child.as_mut();
@@ -248,6 +283,7 @@
     seeds: &[String],
     store: SocketAddr,
     peer_key: &str,
+    memory_mb: u32,
 ) -> Value {
     json!({
         "node_name": format!("front-{at}"), "zone": "suva-a", "region": "central",
@@ -255,7 +291,7 @@
             "front": own_addrs[0], "ready": own_addrs[1], "control": own_addrs[2], "directory": own_addrs[3],
         },
         "seeds": seeds,
-        "limits": {"cpu_share": 1.0, "cores": 1},
+        "limits": {"cpu_share": 1.0, "cores": 1, "memory_mb": memory_mb},
         "bounds": {
             "grace_s": 6, "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_slack": 54,
         },
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -19,6 +19,9 @@
 /// The requests a second that a replica in need takes.
 pub(crate) const RATE_LIMIT: u32 = 12;
 
+/// The longest body that an instance takes.
+const LARGE_BODY_BYTES: usize = 1 << 20;
+
 /// How long a replica that turns requests away wants none.
 pub(crate) const PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -48,6 +51,26 @@
     SaysItLeaves,
     /// Turns every request away and asks for a pause of [`PAUSE`].
     AsksForPause,
+    /// Sends as many bytes as it can.
+    #[allow(dead_code, reason = "only tests/endless_bytes.rs uses it")]
+    Floods(Flood),
+}
+
+/// What a replica sends when it floods.
+#[allow(dead_code, reason = "only tests/endless_bytes.rs uses it")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Flood {
+    EndlessHead,
+    EndlessBody,
+    /// The same without the name of the request.
+    NoAnswer,
+    EndlessChunk,
+    EndlessChunks,
+    TinyChunks,
+    /// Nearly a whole body of the largest size, and then nothing more.
+    UnfinishedBody,
+    /// An answer with a body of the largest size.
+    LargeBody,
 }
 
 /// One run of a request by a replica.
@@ -159,6 +182,14 @@
         while let Ok(Some(req)) = http::read(&mut stream, &mut buf).await {
             self.arrivals.lock().push(Instant::now());
             let mode = *self.mode.lock();
+            if let ReplicaMode::Floods(flood) = mode
+                && flood != Flood::LargeBody
+            {
+                // A failed write means that the instance has closed the connection.
+                let request = req.get("request-id").unwrap_or_default();
+                send_flood(stream, flood, request).await.ok();
+                return;
+            }
             let answer = self.answer(&req, mode);
             sleep(Duration::from_millis(match mode {
                 ReplicaMode::Slow => 250,
@@ -211,7 +242,43 @@
         if mode == ReplicaMode::SaysItLeaves {
             fields.push(("Server-Leaving", "1"));
         }
-        http::response(status, &fields, &records(&self.service, &request))
+        let mut body = records(&self.service, &request);
+        if mode == ReplicaMode::Floods(Flood::LargeBody) {
+            body.resize(LARGE_BODY_BYTES, 0);
+        }
+        http::response(status, &fields, &body)
+    }
+}
+
+async fn send_flood(mut stream: TcpStream, flood: Flood, request: &str) -> std::io::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nAnswer-Stamp: 1\r\n");
+    let chunked = format!("{head}Transfer-Encoding: chunked\r\n\r\n");
+    let mut piece = vec![b'a'; 64 << 10];
+    let begin = match flood {
+        Flood::EndlessHead => "HTTP/1.1 200 OK\r\nX: ".to_owned(),
+        Flood::EndlessBody => format!("{head}\r\n"),
+        Flood::NoAnswer => "HTTP/1.1 200 OK\r\n\r\n".to_owned(),
+        Flood::EndlessChunk => format!("{chunked}fffff\r\n"),
+        Flood::TinyChunks => {
+            piece = b"1\r\na\r\n".repeat(16 << 10);
+            chunked
+        }
+        Flood::EndlessChunks => {
+            piece = [b"8000\r\n", &piece[..0x8000], b"\r\n"].concat();
+            chunked
+        }
+        Flood::UnfinishedBody | Flood::LargeBody => {
+            piece.resize(LARGE_BODY_BYTES - 1, 0);
+            format!("{head}Content-Length: {LARGE_BODY_BYTES}\r\n\r\n")
+        }
+    };
+    stream.write_all(begin.as_bytes()).await?;
+    stream.write_all(&piece).await?;
+    if flood == Flood::UnfinishedBody {
+        sleep(Duration::from_secs(10)).await;
+    }
+    loop {
+        stream.write_all(&piece).await?;
     }
 }
 
