Refuse bodies that consist mostly of chunk sizes

What callers saw: while replicas sent chunks of one byte without end, 4 of 5 requests of other callers on the instance had no answer within 5 s (tests/endless_bytes.rs on, release build).

Cause: a body has a limit of bytes, and each chunk costs time however small it is. A megabyte of one-byte chunks is a million chunks, which are read without a pause by the one thread of the process.

Now the size lines and line ends may have as many bytes as the body and 16 KB more. Any sender of chunks of six bytes or more stays within that, and so does any body of up to 3,000 chunks.

In endless_tests.rs one-byte chunks now end as malformed, earlier than by the size of their body; that larger ones end by it is a case of its own.

--- a/src/connection/endless_tests.rs
+++ b/src/connection/endless_tests.rs
@@ -51,7 +51,10 @@
     begin: "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551615\r\n\r\n", repeat: "a", end: "BodyTooLarge",
 })]
 #[case::chunks(Case {
-    begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\na\r\n", end: "BodyTooLarge",
+    begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "1\r\na\r\n", end: "Malformed",
+})]
+#[case::large_chunks(Case {
+    begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "10\r\naaaaaaaaaaaaaaaa\r\n", end: "BodyTooLarge",
 })]
 #[case::chunk_size(Case {
     begin: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "0", end: "Malformed",
--- a/src/connection/http1_chunks.rs
+++ b/src/connection/http1_chunks.rs
@@ -5,6 +5,9 @@
 const MAX_TRAILER_BYTES: usize = 16 << 10;
 /// The maximum length of a chunk's size line.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// The size lines and line ends of a body may have this many bytes more than the body itself: each
+/// chunk costs time, however small.
+const MAX_CHUNK_OVERHEAD: usize = 16 << 10;
 const LINE_END_BYTES: usize = 2;
 
 impl Http1Conn {
@@ -14,8 +17,13 @@
     /// Any [`HttpError`]; [`HttpError::Truncated`] if the connection ends before the body.
     pub(super) async fn read_chunks(&mut self, max_bytes: usize) -> Result<Vec<u8>, HttpError> {
         let mut body = Vec::new();
+        let mut overhead = 0;
         loop {
-            let len = self.read_chunk_len().await?;
+            let (line_bytes, len) = self.read_chunk_len().await?;
+            overhead += line_bytes + LINE_END_BYTES;
+            if overhead > body.len() + MAX_CHUNK_OVERHEAD {
+                return Err(HttpError::Malformed("the chunks are too small"));
+            }
             if len == 0 {
                 self.skip_trailer().await?;
                 return Ok(body);
@@ -32,13 +40,17 @@
         }
     }
 
-    async fn read_chunk_len(&mut self) -> Result<usize, HttpError> {
+    /// Reads the size line of a chunk. Returns the length of the line and of the chunk.
+    async fn read_chunk_len(&mut self) -> Result<(usize, usize), HttpError> {
         loop {
             let parsed = httparse::parse_chunk_size(self.unread());
             match parsed.map_err(|_| HttpError::Malformed("a chunk size is invalid"))? {
                 httparse::Status::Complete((consumed, len)) => {
                     self.consume(consumed);
-                    return Ok(usize::try_from(len).unwrap_or(usize::MAX / 2));
+                    let len = usize::try_from(len)
+                        .unwrap_or(usize::MAX)
+                        .min(usize::MAX / 2);
+                    return Ok((consumed, len));
                 }
                 httparse::Status::Partial if self.unread().len() > MAX_CHUNK_LINE_BYTES => {
                     return Err(HttpError::Malformed("a chunk size line is too long"));
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -67,6 +67,7 @@
 #[case::heads(Source::Replicas(Flood::EndlessHead))]
 #[case::bodies(Source::Replicas(Flood::EndlessBody))]
 #[case::no_answers(Source::Replicas(Flood::NoAnswer))]
+#[case::tiny_chunks(Source::Replicas(Flood::TinyChunks))]
 #[case::one_chunk(Source::Replicas(Flood::EndlessChunk))]
 #[case::many_chunks(Source::Replicas(Flood::EndlessChunks))]
 #[case::unfinished_bodies(Source::Replicas(Flood::UnfinishedBody))]
