Order deletions of the store by their own revision

Cause: a deletion that a watch reports was recorded at the version of the object that is known when it is read. After an outage that is the new registration, which a delegate passed on first, so the deletion outranked it. The reverse could happen too: an older registration that is passed on late undid a deletion.

A change now carries the version that it made, also a deletion, and what a listing lacks is recorded as deleted at the listing's revision. So every way in which an instance learns of an object, in any order, ends with the state that the store made last.

--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -177,6 +177,7 @@
         match decode_object(kind, event.object) {
             Ok(object) => changes.push(Change {
                 key: object.key.clone(),
+                version: object.version,
                 object: (!event.deleted).then_some(object),
             }),
             Err(error) => tracing::warn!(kind, %error, "could not decode a change"),
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -128,17 +128,6 @@
         true
     }
 
-    /// Returns an entry that marks an object as gone or lapsed at its last known version,
-    /// or none for an unknown object.
-    pub(crate) fn deletion_entry(&self, key: &ObjectKey, state: EntryState) -> Option<Entry> {
-        let (_, known) = self.entries.get(key)?;
-        Some(Entry {
-            key: key.clone(),
-            version: known.version,
-            state,
-        })
-    }
-
     /// Returns the known keys under a prefix that a listing at this revision does not
     /// contain.
     pub(crate) fn missing_from_listing(
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -6,9 +6,9 @@
 use async_std::task::{sleep, spawn};
 use indexmap::IndexMap;
 
-use super::{Entry, EntryState, Node};
+use super::{Entry, EntryState, Node, ObjectCache};
 use crate::process::{Backoff, Change, Changes, Listing, Object, ObjectKey, PlatformError};
-use crate::types::{Revision, Span, Timestamp};
+use crate::types::{ObjectVersion, Revision, Span, Timestamp};
 
 /// How long a watch waits for changes. When a connection goes silent during a watch, its
 /// changes are delayed by this and by the timeout of a call.
@@ -131,49 +131,74 @@
     }
 
     fn apply_listing(&self, listing: Listing) {
-        let keys: Vec<ObjectKey> = listing
-            .objects
-            .iter()
-            .map(|object| object.key.clone())
-            .collect();
-        let missing = self.node.object_cache.lock().missing_from_listing(
-            self.prefix,
-            &keys,
-            listing.revision,
-        );
-        let mut entries: Vec<Entry> = listing.objects.into_iter().map(present_entry).collect();
-        entries.extend(missing.iter().filter_map(|key| self.deletion_entry(key)));
+        let deleted = self.deleted_state();
+        let entries = {
+            let object_cache = self.node.object_cache.lock();
+            entries_of_listing(&object_cache, self.prefix, listing, &deleted)
+        };
         self.node.apply_entries(entries);
     }
 
     fn apply_changes(&self, changes: Changes) {
+        let deleted = self.deleted_state();
         for batch in batches(changes.changes) {
-            let entry = |change: Change| match change.object {
-                Some(object) => Some(present_entry(object)),
-                None => self.deletion_entry(&change.key),
-            };
-            self.node
-                .apply_entries(batch.into_iter().filter_map(entry).collect());
+            let entries = batch.into_iter().map(|change| entry_of(change, &deleted));
+            self.node.apply_entries(entries.collect());
         }
     }
 
-    fn deletion_entry(&self, key: &ObjectKey) -> Option<Entry> {
+    /// The state of objects that are deleted now. After an outage it may only be a lapse.
+    fn deleted_state(&self) -> EntryState {
         let now = self.node.clock.now();
         let lapsed = self
             .outage_ended
             .is_some_and(|ended| now.since(ended) < LAPSE_WINDOW);
-        let state = if lapsed {
+        if lapsed {
             EntryState::Lapsed
         } else {
             EntryState::Gone
-        };
-        self.node.object_cache.lock().deletion_entry(key, state)
+        }
+    }
+}
+
+/// Returns the entries of all listed objects, and of the known ones that the listing lacks. These
+/// were deleted at its revision at the latest, and a registration after it has a later version.
+fn entries_of_listing(
+    object_cache: &ObjectCache,
+    prefix: &str,
+    listing: Listing,
+    deleted: &EntryState,
+) -> Vec<Entry> {
+    let keys: Vec<ObjectKey> = listing
+        .objects
+        .iter()
+        .map(|object| object.key.clone())
+        .collect();
+    let missing = object_cache.missing_from_listing(prefix, &keys, listing.revision);
+    let deletion = |key| Entry {
+        key,
+        version: ObjectVersion(listing.revision.0),
+        state: deleted.clone(),
+    };
+    let present = listing.objects.into_iter().map(present_entry);
+    present.chain(missing.into_iter().map(deletion)).collect()
+}
+
+/// Returns the entry of a change. The version at which an object was deleted orders the deletion
+/// among its registrations, whichever of them is known already.
+fn entry_of(change: Change, deleted: &EntryState) -> Entry {
+    match change.object {
+        Some(object) => present_entry(object),
+        None => Entry {
+            key: change.key,
+            version: change.version,
+            state: deleted.clone(),
+        },
     }
 }
 
 /// Splits changes into as few batches as possible, in order, with each key at most once in
-/// a batch. A deletion refers to the version before it, so that version must be applied
-/// first, and each batch costs a new catalog.
+/// a batch, since each batch costs a new catalog.
 fn batches(changes: Vec<Change>) -> Vec<Vec<Change>> {
     let mut batches: Vec<IndexMap<ObjectKey, Change>> = Vec::new();
     for change in changes {
--- a/src/process/fleet/store_reader_tests.rs
+++ b/src/process/fleet/store_reader_tests.rs
@@ -1,11 +1,12 @@
 //! A release, a reshard or the start of a fleet changes hundreds of objects at once; they
-//! are applied in few batches.
+//! are applied in few batches. Changes of an object count in the order in which the store made them.
 
 use rstest::rstest;
 
-use super::batches;
-use crate::process::{Change, Object, ObjectKey};
-use crate::types::ObjectVersion;
+use super::{batches, entries_of_listing, entry_of, present_entry};
+use crate::process::fleet::{EntryState, ObjectCache};
+use crate::process::{Change, Listing, Object, ObjectKey};
+use crate::types::{ObjectVersion, Revision};
 
 struct Case {
     /// The keys that change, in order; a leading minus marks a deletion.
@@ -26,6 +27,7 @@
     };
     Change {
         key,
+        version: ObjectVersion(1),
         object: (!deleted).then_some(object),
     }
 }
@@ -48,3 +50,99 @@
         .collect();
     assert_eq!(batches(changes), wanted);
 }
+
+/// A way in which this instance learns of the object.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// Another instance, such as a delegate, passes on that it is present.
+    Passed(u64),
+    /// The instance's own watch reports these changes.
+    Watched(&'static [Watched]),
+    /// A listing at this revision lacks it.
+    ListedWithout(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Watched {
+    Present(u64),
+    Deleted(u64),
+}
+
+struct OrderCase {
+    steps: &'static [Step],
+    /// The version at which the object is present in the end, if it is.
+    present: Option<u64>,
+}
+
+fn object(version: u64) -> Object {
+    Object {
+        key: ObjectKey::new("servers/a"),
+        version: ObjectVersion(version),
+        value: b"{}".to_vec(),
+    }
+}
+
+/// Guards against a deletion that is read late and outranks the registration after it, which loses
+/// all replicas for good after an outage of the store, and against one that an older registration
+/// undoes.
+#[rstest]
+#[case::a_delegate_tells_of_the_registration_first(OrderCase {
+    steps: &[Step::Passed(2), Step::Passed(5), Step::Watched(&[Watched::Deleted(3), Watched::Present(5)])],
+    present: Some(5),
+})]
+#[case::the_deletion_alone_comes_late(OrderCase {
+    steps: &[Step::Passed(5), Step::Watched(&[Watched::Deleted(3)])], present: Some(5),
+})]
+#[case::the_registration_comes_from_another(OrderCase {
+    steps: &[Step::Passed(2), Step::Watched(&[Watched::Deleted(3)]), Step::Passed(5)], present: Some(5),
+})]
+#[case::a_listing_before_the_registration(OrderCase {
+    steps: &[Step::Passed(5), Step::ListedWithout(4)], present: Some(5),
+})]
+#[case::deleted(OrderCase {
+    steps: &[Step::Passed(2), Step::Watched(&[Watched::Deleted(3)])], present: None,
+})]
+#[case::an_old_registration_after_the_deletion(OrderCase {
+    steps: &[Step::Watched(&[Watched::Deleted(3)]), Step::Passed(2)], present: None,
+})]
+#[case::an_old_registration_after_the_listing(OrderCase {
+    steps: &[Step::Passed(2), Step::ListedWithout(4), Step::Passed(3)], present: None,
+})]
+fn changes_count_in_the_order_of_the_store(
+    #[case] case: OrderCase,
+    #[values(EntryState::Lapsed, EntryState::Gone)] deleted: EntryState,
+) {
+    let mut object_cache = ObjectCache::new(1);
+    for step in case.steps {
+        let entries = match *step {
+            Step::Passed(version) => vec![present_entry(object(version))],
+            Step::Watched(changes) => {
+                let change = |watched: &Watched| match *watched {
+                    Watched::Present(version) => (version, Some(object(version))),
+                    Watched::Deleted(version) => (version, None),
+                };
+                let changes = changes.iter().map(change).map(|(version, object)| Change {
+                    key: ObjectKey::new("servers/a"),
+                    version: ObjectVersion(version),
+                    object,
+                });
+                changes.map(|change| entry_of(change, &deleted)).collect()
+            }
+            Step::ListedWithout(revision) => {
+                let listing = Listing {
+                    revision: Revision(revision),
+                    objects: Vec::new(),
+                };
+                entries_of_listing(&object_cache, "servers", listing, &deleted)
+            }
+        };
+        for entry in entries {
+            object_cache.apply(entry);
+        }
+    }
+    let known = object_cache.since(Default::default(), usize::MAX).entries;
+    let present = known
+        .iter()
+        .find(|entry| matches!(entry.state, EntryState::Present(_)));
+    assert_eq!(present.map(|entry| entry.version.0), case.present);
+}
--- a/src/process/platform/fake_store.rs
+++ b/src/process/platform/fake_store.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use async_std::channel::Sender;
+use indexmap::IndexMap;
 use serde_json::Value;
 
 use super::{Change, Changes, Object, ObjectKey, ObjectVersion, PlatformError, Revision};
@@ -197,16 +198,18 @@
     }
 
     fn changes_since(&self, prefix: &str, from: Revision) -> Vec<Change> {
-        let mut keys: Vec<ObjectKey> = Vec::new();
+        let mut latest: IndexMap<ObjectKey, u64> = IndexMap::new();
         for (revision, key) in &self.history {
             let key = ObjectKey::new(key);
-            if *revision > from.0 && key.is_under(prefix) && !keys.contains(&key) {
-                keys.push(key);
+            if *revision > from.0 && key.is_under(prefix) {
+                latest.insert(key, *revision);
             }
         }
-        keys.into_iter()
-            .map(|key| Change {
+        latest
+            .into_iter()
+            .map(|(key, revision)| Change {
                 object: self.object(key.as_str()),
+                version: ObjectVersion(revision),
                 key,
             })
             .collect()
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -106,6 +106,8 @@
 pub struct Change {
     /// The key that changed.
     pub key: ObjectKey,
+    /// The version that the change made, also when the object was deleted.
+    pub version: ObjectVersion,
     /// Its new state, or none when it was deleted.
     pub object: Option<Object>,
 }
--- a/tests/standin/platform_wire.rs
+++ b/tests/standin/platform_wire.rs
@@ -94,7 +94,8 @@
 }
 
 pub(super) fn event(change: &Change) -> Value {
-    let deleted_object = || json!({ "meta": meta(name(&change.key), 0), "spec": null });
+    let version = change.version.0;
+    let deleted_object = || json!({ "meta": meta(name(&change.key), version), "spec": null });
     let object = change
         .object
         .as_ref()
