--- a/src/process/fleet/store_reader_tests.rs
+++ b/src/process/fleet/store_reader_tests.rs
@@ -6,7 +6,7 @@
 use super::{batches, entries_of_listing, entry_of, present_entry};
 use crate::process::fleet::{EntryState, ObjectCache};
 use crate::process::{Change, Listing, Object, ObjectKey};
-use crate::types::{ObjectVersion, Revision};
+use crate::types::{ObjectVersion, Position, Revision};
 
 struct Case {
     /// The keys that change, in order; a leading minus marks a deletion.
@@ -140,7 +140,7 @@
             object_cache.apply(entry);
         }
     }
-    let known = object_cache.since(Default::default(), usize::MAX).entries;
+    let known = object_cache.since(Position::default(), usize::MAX).entries;
     let present = known
         .iter()
         .find(|entry| matches!(entry.state, EntryState::Present(_)));
