Write the log on a thread of its own, and drop lines that nobody reads

Cause: lines were written by the thread that logs, which on the platform serves all connections, or by the timer's, which may hold a query's lock.

Now tracing-appender's writer takes lines into a queue of 1,000 and writes them on its own thread; what finds no room is dropped, counted (hyssopwalk_dropped_log_lines) and said in a line. At the end the last lines have 200 ms, on a further thread, since the library itself may wait for the output there.

--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 mod exit;
 mod keys;
 mod load;
+mod log;
 mod operator_args;
 mod query;
 mod serve;
@@ -21,7 +22,8 @@
 mod table;
 mod token;
 
-pub(crate) use serve::{bind, log_to_stdout, set_io_threads};
+pub(crate) use log::{Log, report_dropped_lines};
+pub(crate) use serve::{bind, set_io_threads};
 pub(crate) use stop::{Accepting, listen_for_signals, run_node_until_stopped};
 
 pub use args::{Cmd, LoadArgs, ServeArgs};
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,11 +7,10 @@
 use anyhow::{Context, Result, bail};
 use async_global_executor::GlobalExecutorConfig;
 use async_std::net::TcpListener;
-use tracing_subscriber::EnvFilter;
-use tracing_subscriber::fmt::MakeWriter;
 
 use super::ServeArgs;
 use super::keys::read_keys;
+use super::log::{Log, report_dropped_lines};
 use super::stop::{Accepting, run_instance_until_stopped, stop_signals};
 use crate::connection;
 use crate::platform::ObjectStore;
@@ -23,9 +22,11 @@
         let mut settings = Settings::from(self);
         settings.operator_keys.extend(more_keys);
         validate(&settings)?;
-        log_to_stderr();
+        let log = Log::to_stderr();
         set_io_threads(settings.io_threads);
-        async_std::task::block_on(serve(settings))
+        let exit_code = async_std::task::block_on(serve(settings, &log));
+        log.flush();
+        exit_code
     }
 }
 
@@ -47,28 +48,7 @@
     async_global_executor::init_with_config(config);
 }
 
-fn log_to_stderr() {
-    log_to(std::io::stderr);
-}
-
-/// Logs to standard output, where the platform collects logs.
-pub(crate) fn log_to_stdout() {
-    log_to(std::io::stdout);
-}
-
-fn log_to<W>(writer: W)
-where
-    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
-{
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    tracing_subscriber::fmt()
-        .json()
-        .with_env_filter(filter)
-        .with_writer(writer)
-        .init();
-}
-
-async fn serve(mut settings: Settings) -> Result<ExitCode> {
+async fn serve(mut settings: Settings, log: &Log) -> Result<ExitCode> {
     let signals = stop_signals().context("could not listen for signals")?;
     let listener = bind(settings.listen).await?;
     settings.listen = listener.local_addr()?;
@@ -76,6 +56,7 @@
     settings.peer_listen = peer_listener.local_addr()?;
     let platform = Arc::new(ObjectStore::new(settings.platform, settings.platform_rates));
     let instance = Instance::start(settings, platform).context("could not start the instance")?;
+    report_dropped_lines(&instance.engine, log);
     let peers = connection::accept_peers(Arc::clone(&instance), peer_listener);
     async_std::task::spawn(peers);
     let accepting =
--- a/src/platform/args.rs
+++ b/src/platform/args.rs
@@ -14,7 +14,8 @@
 use super::store::ObjectStore;
 use super::{directory, front, reload};
 use crate::cmd::{
-    Accepting, bind, listen_for_signals, log_to_stdout, run_node_until_stopped, set_io_threads,
+    Accepting, Log, bind, listen_for_signals, report_dropped_lines, run_node_until_stopped,
+    set_io_threads,
 };
 use crate::connection;
 use crate::process::{CallRates, Clock, Engine, MemoryBudget, Node, NodeSettings, Workers};
@@ -43,13 +44,20 @@
             println!("the settings of {} are valid", settings.me.member.name);
             return Ok(ExitCode::SUCCESS);
         }
-        log_to_stdout();
+        let log = Log::to_stdout();
         set_io_threads(self.threads);
-        async_std::task::block_on(serve(self.settings, wire, settings))
+        let exit_code = async_std::task::block_on(serve(self.settings, wire, settings, &log));
+        log.flush();
+        exit_code
     }
 }
 
-async fn serve(path: PathBuf, wire: SettingsWire, settings: NodeSettings) -> Result<ExitCode> {
+async fn serve(
+    path: PathBuf,
+    wire: SettingsWire,
+    settings: NodeSettings,
+    log: &Log,
+) -> Result<ExitCode> {
     // The handlers are installed first: a signal without a handler terminates the process.
     let (stop_signals, reload_signals) = listen_for_signals()?;
     let caller_listener = bind(wire.listen.front).await?;
@@ -65,6 +73,7 @@
     let requests = MemoryBudget::new(settings.message_memory);
     let transport = Box::new(ReplicaTransport::new(clock, replies));
     let engine = Engine::start(clock, transport, Workers::Connections)?;
+    report_dropped_lines(&engine, log);
     let store = Arc::new(ObjectStore::new(
         wire.platform.address,
         CallRates::default(),
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -12,11 +12,13 @@
 use crate::request::LegFailure;
 use crate::types::{ClassName, Span, UpstreamName};
 
+const METER: &str = "hyssopwalk";
+
 /// The metric instruments of one process.
 #[derive(Debug)]
 pub(crate) struct Metrics {
     registry: Registry,
-    _provider: SdkMeterProvider,
+    provider: SdkMeterProvider,
     answers: Counter<u64>,
     refusals: Counter<u64>,
     latency: Histogram<f64>,
@@ -35,10 +37,10 @@
             .with_registry(registry.clone())
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("hyssopwalk");
+        let meter = provider.meter(METER);
         Ok(Self {
             registry,
-            _provider: provider,
+            provider,
             answers: meter.u64_counter("hyssopwalk_answers").build(),
             refusals: meter.u64_counter("hyssopwalk_refusals").build(),
             latency: meter.f64_histogram("hyssopwalk_answer_seconds").build(),
@@ -50,6 +52,15 @@
         })
     }
 
+    /// Adds a counter of the log lines that were dropped, which `count` returns.
+    pub(crate) fn count_dropped_lines(&self, count: impl Fn() -> u64 + Send + Sync + 'static) {
+        let meter = self.provider.meter(METER);
+        let counter = meter.u64_observable_counter("hyssopwalk_dropped_log_lines");
+        counter
+            .with_callback(move |observer| observer.observe(count(), &[]))
+            .build();
+    }
+
     pub(crate) fn answered(&self, class: &ClassName, meets_target: bool, took: Span) {
         let class = KeyValue::new("class", class.to_string());
         self.answers
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -214,10 +214,16 @@
 
 impl Instance {
     pub(crate) fn start(&mut self) {
+        self.start_logging_to(Stdio::null(), "info");
+    }
+
+    /// Starts the process with this standard output and this filter of its log.
+    pub(crate) fn start_logging_to(&mut self, stdout: Stdio, filter: &str) {
         let child = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"))
             .args(["platform", "--settings"])
             .arg(&self.settings)
-            .stdout(Stdio::null())
+            .env("RUST_LOG", filter)
+            .stdout(stdout)
             .stderr(self.stderr_file())
             .spawn();
         self.child = Some(child.expect("the binary starts"));
