Read a new message in small pieces again, after reading the change

Found in the last read: after a large body the connection still asked for large pieces, so the first bytes of the next message could exceed what is always taken. In a flood the connection would then have been closed before its request was read, instead of being refused. The next message begins with small reads.

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -57,7 +57,7 @@
     /// How many bytes at the front of the buffer belong to messages that were read.
     pub(super) consumed: usize,
     /// How many bytes the next read asks for.
-    read_bytes: usize,
+    pub(super) read_bytes: usize,
     /// The memory of a body that is being read beside the buffer.
     pub(super) moved: usize,
     /// The memory of both, unless it is not limited.
--- a/src/connection/http1_memory.rs
+++ b/src/connection/http1_memory.rs
@@ -26,7 +26,7 @@
     /// Drops what was received and not yet consumed.
     pub(crate) fn clear(&mut self) {
         (self.buf, self.consumed, self.moved) = (Vec::new(), 0, 0);
-        self.memory = self.memory.take().map(Reservation::emptied);
+        drop(self.memory.as_mut().map(Reservation::take));
     }
 
     /// What was received and not yet consumed.
@@ -85,6 +85,7 @@
             bytes.shrink_to_fit();
         }
         self.moved = 0;
+        self.read_bytes = READ_BYTES;
         // An idle connection keeps no more than its next message usually needs.
         self.buf.shrink_to(READ_BYTES);
         let mut memory = self.memory.as_mut().map(Reservation::take);
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -85,25 +85,25 @@
         if left == Span::ZERO {
             return Err(LegFailure::Unreachable);
         }
-        let head = payload.head(&leg.upstream.name, left);
+        let request_head = payload.head(&leg.upstream.name, left);
         let reply_timeout = Span(left.0 + REPLY_SLACK.0);
         let exchanging = async {
-            let head = conn.send(&head, payload.body).await?;
+            let head = conn.send(&request_head, payload.body).await?;
             if reply::is_from_upstream(&head, payload.id) {
                 *signals = Some(signals::decode(&head));
             }
             let reply_head = reply::validate(&head, payload.id, history);
-            // What follows is of no use, and may have no end.
-            if reply_head == Err(LegFailure::Mangled) {
-                return Ok((head, reply_head, Body::default()));
-            }
-            let body = conn.body(head.framing()?, MAX_REPLY_BYTES).await?;
-            Ok((head, reply_head, body))
+            let body = match reply_head {
+                // What follows the head is of no use, and may have no end.
+                Err(LegFailure::Mangled) => Body::default(),
+                _ => conn.body(head.framing()?, MAX_REPLY_BYTES).await?,
+            };
+            Ok::<_, HttpError>((head, reply_head, body))
         };
         let (head, reply_head, body) = timeout(reply_timeout.as_duration(), exchanging)
             .await
             .map_err(|_| LegFailure::OutOfTime)?
-            .map_err(|error: HttpError| leg_failure(&error))?;
+            .map_err(|error| leg_failure(&error))?;
         if !head.closes()
             && !conn.has_buffered_bytes()
             && let Some(history) = reply::history_after(&head, &reply_head)
--- a/src/process/memory.rs
+++ b/src/process/memory.rs
@@ -75,12 +75,6 @@
         Ok(())
     }
 
-    /// Releases the reserved bytes and keeps the budget.
-    pub(crate) fn emptied(mut self) -> Self {
-        drop(self.take());
-        self
-    }
-
     /// Moves the reserved bytes to a reservation of their own.
     pub(crate) fn take(&mut self) -> Self {
         let bytes = std::mem::take(&mut self.bytes);
