Let every instance hear a signal at once in its test

Cause, in the test: each caller stays with one instance for eight requests, and all began with the same one. Where the other replica is slow or sheds, eight requests take over a second, so the last instance sent its first leg, by which alone it hears the signal, after the 2 s that the test allows. The rule allows that leg.

Now the callers begin with different instances, and the signal is given once all serve; what arrived before is not counted. Checks and bounds are as they were.

--- a/tests/upstream_signals.rs
+++ b/tests/upstream_signals.rs
@@ -28,8 +28,10 @@
 use rstest::rstest;
 
 const CALLERS: usize = 4;
-/// The time that instances have to start and to hear the signal.
+/// The time that instances have to hear the signal.
 const SETTLE: Duration = Duration::from_secs(2);
+/// The time that instances have to start.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
 /// The span in which requests are counted, and how many of them the limit allows.
 const WINDOW: Duration = Duration::from_secs(4);
 const WINDOW_SECS: u32 = 4;
@@ -114,9 +116,11 @@
     let name = format!("{signal:?}-{:?}-{:?}", case.replicas[0], case.other);
     block_on(async {
         let deployment = Deployment::start(&name).await;
+        wait_until_served(&deployment, instances).await;
         let [signalling, other] = case.replicas.map(|at| &deployment.replicas[at].replica);
-        signalling.set_mode(signal);
         other.set_mode(case.other);
+        signalling.set_mode(signal);
+        signalling.arrivals.lock().clear();
         let observations = Arc::new(Observations::default());
         let fronts: Vec<_> = deployment.instances[..instances]
             .iter()
@@ -125,7 +129,10 @@
         let callers: Vec<_> = (0..CALLERS * instances)
             .map(|at| {
                 let name = format!("{name}c{at}");
-                spawn(caller::run(name, fronts.clone(), Arc::clone(&observations)))
+                // A caller takes the instances in turn, and each of them has to hear the signal.
+                let mut fronts = fronts.clone();
+                fronts.rotate_left(at % instances);
+                spawn(caller::run(name, fronts, Arc::clone(&observations)))
             })
             .collect();
         sleep(SETTLE).await;
@@ -141,6 +148,25 @@
     })
 }
 
+/// Waits until each of the first `instances` serves: one that starts late hears the signal late.
+async fn wait_until_served(deployment: &Deployment, instances: usize) {
+    let began = Instant::now();
+    for instance in &deployment.instances[..instances] {
+        loop {
+            let observations = Observations::default();
+            caller::send_each_kind("w", instance.front, &observations).await;
+            if observations.answered() == caller::REQUEST_KINDS as u64 {
+                break;
+            }
+            assert!(
+                began.elapsed() < STARTS_WITHIN,
+                "an instance does not serve"
+            );
+            sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
 /// Returns the number of arrivals in each quarter of a second from two seconds before `from` on.
 fn histogram(from: Instant, arrivals: &[Instant]) -> Vec<usize> {
     let step = Duration::from_millis(250);
