--- a/src/platform/carried.rs
+++ b/src/platform/carried.rs
@@ -1,8 +1,8 @@
 //! The requests that a connection to a replica has carried.
 //!
-//! Responses name their request and not the sending that they answer, so a late copy of a refusal
-//! looks like the response to the next sending of the same request. See `docs/DESIGN.md`, "Late
-//! copies of responses".
+//! Responses name their request and not the leg that they answer, so a late copy of a refusal looks
+//! like the response to the next leg of the same request. See `docs/DESIGN.md`, "Late copies of
+//! responses".
 
 use crate::types::Timestamp;
 
--- a/src/platform/resend_tests.rs
+++ b/src/platform/resend_tests.rs
@@ -1,5 +1,5 @@
-//! A request that is sent to a replica again: a late copy of the response to the first sending must
-//! not become the response to the second.
+//! A request that is sent to a replica again: a late copy of the response to the first leg must not
+//! become the response to the second.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,11 +21,11 @@
 use crate::types::ConnectionCount;
 
 struct Case {
-    /// The response to the first sending.
+    /// The response to the first leg.
     first: &'static str,
-    /// Other requests on the connection between the two sendings.
+    /// Other requests on the connection between the two legs.
     between: usize,
-    /// How many connections are open before the first sending.
+    /// How many connections are open before the first leg.
     open: usize,
     max_connections: u32,
     repeatable: bool,
@@ -52,7 +52,7 @@
 const WORK: Duration = Duration::from_millis(20);
 
 /// Guards against the late copy of a refusal that is taken for the answer to the same request's next
-/// sending, after which an order that runs is sent once more, or refused as not run.
+/// leg, after which an order that runs is sent once more, or refused as not run.
 #[rstest]
 #[case::order_refused_as_busy(ORDER)]
 #[case::order_refused_by_another_replica(Case { first: MISDIRECTED, ..ORDER })]
@@ -61,7 +61,7 @@
 #[case::read_that_failed(Case { first: FAILED, repeatable: true, ..ORDER })]
 #[case::on_another_idle_connection(Case { open: 2, ..ORDER })]
 #[case::within_the_share_of_connections(Case { max_connections: 1, ..ORDER })]
-fn a_late_copy_is_not_the_answer_to_the_next_sending(#[case] case: Case) {
+fn a_late_copy_does_not_answer_the_next_leg_of_its_request(#[case] case: Case) {
     block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
@@ -76,8 +76,8 @@
         }
         let second = send("one".to_owned()).await;
         let ran = second.as_ref().map_err(|failure| failure.ran());
-        assert_ne!(ran, Err(Ran::NotRun), "the second sending runs");
-        assert_eq!(*second.unwrap(), *b"the answer to the second sending");
+        assert_ne!(ran, Err(Ran::NotRun), "the second leg runs");
+        assert_eq!(*second.unwrap(), *b"the answer to the second leg");
         assert_eq!(conns.opened.load(Ordering::Relaxed), case.opened);
         let most = conns.most_open.load(Ordering::Relaxed);
         assert!(most <= case.max_connections as usize, "{most} at once");
@@ -100,7 +100,7 @@
     opened: AtomicUsize,
     most_open: AtomicUsize,
     /// How often the request "one" was received.
-    sendings: AtomicUsize,
+    legs: AtomicUsize,
 }
 
 async fn accept(listener: TcpListener, first: &'static str, conns: Arc<Conns>) {
@@ -124,8 +124,8 @@
     !matches!(received, Ok((_, 0)))
 }
 
-/// Sends `first` for the request "one", and a copy of it before the response to its next sending
-/// on the same connection.
+/// Sends `first` for the request "one", and a copy of it before the response to its next leg on
+/// the same connection.
 async fn serve(mut stream: TcpStream, first: &str, conns: &Conns) -> Option<()> {
     let mut is_copy_due = false;
     loop {
@@ -136,12 +136,12 @@
             if std::mem::take(&mut is_copy_due) {
                 write(&mut stream, first).await?;
             }
-            if conns.sendings.fetch_add(1, Ordering::Relaxed) == 0 {
+            if conns.legs.fetch_add(1, Ordering::Relaxed) == 0 {
                 is_copy_due = true;
                 write(&mut stream, first).await?;
                 continue;
             }
-            "the answer to the second sending"
+            "the answer to the second leg"
         } else {
             "the answer to another request"
         };
