Say in a test why instances do not serve, and list where they did not

The cause is not shown, since the test keeps no logs; it now prints whether each process has exited and what it wrote to standard error. Check and bound stay.

--- a/tests/planned_stop.rs
+++ b/tests/planned_stop.rs
@@ -26,7 +26,7 @@
 use async_std::net::TcpStream;
 use async_std::task::{block_on, sleep};
 use caller::{NOT_RUN_STATUSES, Observations, send_each_kind, send_request};
-use deployment::{Deployment, INSTANCES};
+use deployment::{Deployment, INSTANCES, Instance};
 use futures::future::join_all;
 use replica::ReplicaMode;
 use rstest::rstest;
@@ -102,7 +102,7 @@
         );
         let mut deployment = Deployment::start(&(name + &case.kind.replace('/', ""))).await;
         let front = deployment.instances[case.instance].front;
-        wait_until_served(&deployment).await;
+        wait_until_served(&mut deployment).await;
         let connections = keep_connections(&case, front).await;
         for proxied in &deployment.replicas {
             proxied.replica.set_mode(case.replicas);
@@ -132,7 +132,7 @@
     });
 }
 
-async fn wait_until_served(deployment: &Deployment) {
+async fn wait_until_served(deployment: &mut Deployment) {
     let began = Instant::now();
     loop {
         let observations = Observations::default();
@@ -142,9 +142,11 @@
         if observations.answered() == caller::REQUEST_KINDS as u64 * INSTANCES as u64 {
             return;
         }
+        let instances = deployment.instances.iter_mut();
         assert!(
             began.elapsed() < Duration::from_secs(20),
-            "the deployment does not serve: {observations:?}"
+            "the deployment does not serve: {observations:?} {:#?}",
+            instances.map(Instance::describe).collect::<Vec<_>>()
         );
     }
 }
@@ -186,11 +188,7 @@
 }
 
 /// Sends the signals, and returns when the process had exited.
-async fn stop(
-    instance: &mut deployment::Instance,
-    signals: &[Duration],
-    began: Instant,
-) -> Duration {
+async fn stop(instance: &mut Instance, signals: &[Duration], began: Instant) -> Duration {
     let mut signals = signals.iter().peekable();
     loop {
         if instance.has_exited() {
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -249,6 +249,14 @@
         self.settings.with_extension("errors")
     }
 
+    /// Says whether the process has exited, and what it wrote to stderr.
+    #[allow(dead_code, reason = "only tests/planned_stop.rs uses it")]
+    pub(crate) fn describe(&mut self) -> String {
+        let has_exited = self.has_exited();
+        let text = std::fs::read_to_string(self.stderr_path()).unwrap_or_default();
+        format!("{}: exited {has_exited}, {text:?}", self.front)
+    }
+
     /// Returns the panics in stderr that the process survived, such as locks taken out of order.
     pub(crate) fn panics(&self) -> Vec<String> {
         let text = std::fs::read_to_string(self.stderr_path()).unwrap_or_default();
