Give a replica its share again when the pause that it wanted ends

What callers saw: a replica that turned a request away and asked for a pause of 1.5 s stayed unused for up to ten seconds after it, while the other replica took all the load.

Cause: a leg that is turned away counts in the replica's shed ratio, also when the replica says how long it is busy. One leg costs 125 ms, four at once 342 ms, and half of that is gone every 2 s, so at low load another replica that takes some milliseconds is cheaper for up to 14 s. Whether the test passed hung on the load that its callers made.

The shed ratio is a guess at when sheds end, for replicas that do not say. A stated pause needs no guess: its legs no longer count in the ratio, and the pause itself is kept as before.

Test: a_replica_gets_its_share_again_when_its_pause_ends, without network and clocks.

--- a/src/process/shedding_tests.rs
+++ b/src/process/shedding_tests.rs
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{Choice, LegEnd, Limits, SelectionRequest, Upstreams};
+use super::{Choice, LegEnd, Limits, SelectionRequest, UpstreamSignals, Upstreams};
 use crate::request::LegFailure;
 use crate::types::{ClassName, ConnectionCount, SlotCount, SnapshotId, Span, Timestamp};
 use crate::version::UpstreamSpec;
@@ -136,3 +136,60 @@
         );
     }
 }
+
+struct PauseCase {
+    name: &'static str,
+    /// The legs in flight that the near replica turns away, each with the same pause.
+    legs: usize,
+    pause: Span,
+}
+
+/// Guards against a replica that stays unused for seconds after the pause that it wanted, while
+/// the other one takes all the load.
+#[test]
+fn a_replica_gets_its_share_again_when_its_pause_ends() {
+    let cases = [
+        PauseCase {
+            name: "one leg",
+            legs: 1,
+            pause: Span::from_millis(1_500),
+        },
+        PauseCase {
+            name: "four legs at once",
+            legs: 4,
+            pause: Span::from_millis(1_500),
+        },
+        PauseCase {
+            name: "a short pause",
+            legs: 1,
+            pause: Span::from_millis(100),
+        },
+    ];
+    for case in cases {
+        let mut upstreams = Upstreams::default();
+        upstreams.set_home("suva-a".parse().unwrap());
+        let healthy = [NEAR, FAR].map(|took| Replica { took, sheds: 0.0 });
+        run(&mut upstreams, Timestamp(0), Span::from_secs(10), &healthy);
+
+        let paused_at = Timestamp(0) + Span::from_secs(10);
+        let (near, class) = (spec("near", "suva-a"), "counter".parse().unwrap());
+        let signals = UpstreamSignals {
+            pause: Some(case.pause),
+            ..UpstreamSignals::default()
+        };
+        for _ in 0..case.legs {
+            upstreams.begin(paused_at, &near);
+        }
+        for _ in 0..case.legs {
+            let end = LegEnd::Failed(LegFailure::Shed);
+            upstreams.note_signals(paused_at, &near, signals);
+            upstreams.end(paused_at, &near, &class, Span::from_millis(2), end);
+        }
+
+        let (ratios, _) = run(&mut upstreams, paused_at, case.pause, &healthy);
+        assert!(ratios[0] == 0.0, "{}: {ratios:?} in the pause", case.name);
+        let ends_at = paused_at + case.pause;
+        let (ratios, _) = run(&mut upstreams, ends_at, Span::from_secs(1), &healthy);
+        assert!(ratios[0] > 0.8, "{}: {ratios:?} after it", case.name);
+    }
+}
--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -246,7 +246,10 @@
                 self.backoff_until =
                     now + doubled(SHED_BACKOFF, self.consecutive_sheds, MAX_SHED_BACKOFF);
                 self.consecutive_sheds += 1;
-                self.update_shed_ratio(now, 1.0);
+                // The end of a pause is stated; the ratio is a guess at when sheds end.
+                if !self.stated.is_paused(now) {
+                    self.update_shed_ratio(now, 1.0);
+                }
             }
             LegFailure::Draining => {
                 self.drained_until =
