Let no forked process hold the ports of a test deployment

Cause, traced in a copy of the test that keeps what the processes write: "could not listen on 127.92.37.4:43013: Address already in use", and the process exits with 1. No other socket has that address a moment later. The ports of a deployment were found by listening on them for a moment. A process that another test forks in that moment has a copy of these sockets until it executes its program, and a copy that listens keeps the instance from listening. So it takes many tests at once and a busy machine. It is a fault of the stand-ins, not of the instance.

The ports are now found by sockets that are bound and do not listen, which hold nobody up.

The bound of 20 s and all checks stay.

--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -1,12 +1,15 @@
 //! A small deployment: instance processes, a store, replicas, and proxies between them.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, Ordering};
 
 use parking_lot::Mutex;
+use rustix::net::sockopt::set_socket_reuseaddr;
+use rustix::net::{AddressFamily, SocketFlags, SocketType, bind, getsockname, socket_with};
 use rustix::process::{Pid, Signal, kill_process};
 use serde_json::{Value, json};
 
@@ -323,15 +326,29 @@
 fn free_addrs(count: usize) -> Vec<SocketAddr> {
     static DEPLOYMENTS: AtomicU8 = AtomicU8::new(1);
     let pid = std::process::id().to_le_bytes();
-    let ip = [
+    let ip = Ipv4Addr::new(
         127,
         pid[0].max(1),
         pid[1].max(1),
         DEPLOYMENTS.fetch_add(1, Ordering::Relaxed).max(1),
-    ];
-    let listeners: Vec<std::net::TcpListener> = (0..count)
-        .map(|_| std::net::TcpListener::bind((std::net::IpAddr::from(ip), 0)).expect("a free port"))
+    );
+    let sockets: Vec<OwnedFd> = (0..count)
+        .map(|_| bind_socket(ip).expect("a free port"))
         .collect();
-    let addr = |listener: &std::net::TcpListener| listener.local_addr().expect("a bound address");
-    listeners.iter().map(addr).collect()
+    let addr = |socket: &OwnedFd| -> SocketAddr {
+        let addr = getsockname(socket).expect("a bound address");
+        addr.try_into().expect("an IP address")
+    };
+    sockets.iter().map(addr).collect()
+}
+
+/// Binds a socket to a free port without listening on it. A process that another test forks at this
+/// moment holds a copy of the socket until it executes its program. While a copy listens, nobody
+/// else can.
+fn bind_socket(ip: Ipv4Addr) -> rustix::io::Result<OwnedFd> {
+    let flags = SocketFlags::CLOEXEC;
+    let socket = socket_with(AddressFamily::INET, SocketType::STREAM, flags, None)?;
+    set_socket_reuseaddr(&socket, true)?;
+    bind(&socket, &SocketAddr::from((ip, 0)))?;
+    Ok(socket)
 }
