Bound what messages between instances hold together

What could happen: each message between instances may have 4 MB, and nothing bounded all of them together. Eight streams on each connection of another instance could hold 32 MB, on a machine of 160 MB. It was left open by the postmortem of the memory that replies fill; no such flood was seen, and instances trust each other by a key.

The third budget, of the same size as those for callers and replicas: a message holds its part while it is read and until it is answered. One that finds no memory is refused with 503, and its connection is closed, as after any other refusal. Small ones (4 KB) are always taken, so heartbeats and requests for updates go on.

Test: peer_memory_tests, 40 messages of 1 MB at once and a budget of 8 MB. Two large ones and 40 small ones are taken as before.

--- a/src/connection/endless_h2_tests.rs
+++ b/src/connection/endless_h2_tests.rs
@@ -12,8 +12,8 @@
 use http::StatusCode;
 
 use super::peer_server::{self, PeerRequestHandler};
-use crate::process::{PeerRequest, PeerResponse};
-use crate::types::{PeerKey, Span};
+use crate::process::{MemoryBudget, PeerRequest, PeerResponse};
+use crate::types::{ByteCount, PeerKey, Span};
 
 const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
 const SETTINGS: u8 = 4;
@@ -25,13 +25,17 @@
 const MAX_SENT_BYTES: usize = 8 << 20;
 const ENDS_WITHIN: Span = Span::from_secs(10);
 
-struct NoRequests;
+struct NoRequests(Arc<MemoryBudget>);
 
 impl PeerRequestHandler for NoRequests {
     fn peer_keys(&self) -> &[PeerKey] {
         &[]
     }
 
+    fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.0
+    }
+
     fn refused(&self, _status: StatusCode) {}
 
     fn answer(&self, _request: PeerRequest) -> BoxFuture<'_, PeerResponse> {
@@ -50,7 +54,8 @@
     block_on(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
-        spawn(peer_server::accept(Arc::new(NoRequests), listener));
+        let memory = MemoryBudget::new(ByteCount(1 << 20));
+        spawn(peer_server::accept(Arc::new(NoRequests(memory)), listener));
         let mut stream = TcpStream::connect(addr).await.unwrap();
         let begin = [PREFACE, &frame(SETTINGS, 0, &[])].concat();
         stream.write_all(&begin).await.unwrap();
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -30,6 +30,7 @@
 mod operator_wire;
 mod peer;
 mod peer_auth;
+mod peer_body;
 mod peer_server;
 mod peer_wire;
 mod pool;
@@ -57,6 +58,8 @@
 #[cfg(test)]
 mod operator_tests;
 #[cfg(test)]
+mod peer_memory_tests;
+#[cfg(test)]
 mod peer_slow_link_tests;
 #[cfg(test)]
 mod peer_tests;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -4,12 +4,12 @@
 
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Instant;
 
 use async_std::future::timeout;
 use async_std::net::TcpStream;
-use h2::RecvStream;
 use h2::client::{self, SendRequest};
 use http::{Request, StatusCode};
 use indexmap::IndexMap;
@@ -19,12 +19,13 @@
 
 use super::MAX_HEADER_LIST_BYTES;
 use super::peer_auth::{self, Side, Transcript};
+use super::peer_body::{self, PeerBody, PeerBodyError};
 use super::peer_wire::{
     self, ChallengeWire, HelloWire, MAX_HELLO_BYTES, MAX_MESSAGE_BYTES, PROTOCOL, PeerRequestWire,
     PeerResponseWire, PeerWireError, ProofWire,
 };
-use crate::process::{PeerRequest, PeerResponse, Rank, Ranked};
-use crate::types::{InstanceName, PeerKey, Span};
+use crate::process::{MemoryBudget, PeerRequest, PeerResponse, Rank, Ranked};
+use crate::types::{ByteCount, InstanceName, PeerKey, Span};
 
 pub(super) const HELLO_PATH: &str = "/peer/hello";
 pub(super) const PROOF_PATH: &str = "/peer/proof";
@@ -43,6 +44,9 @@
     /// The HTTP/2 connection or stream failed.
     #[error("the connection failed: {0}")]
     Http2(#[from] h2::Error),
+    /// The reply could not be read to its end.
+    #[error("could not read the reply: {0}")]
+    Body(#[from] PeerBodyError),
     /// A message could not be encoded or decoded.
     #[error(transparent)]
     Wire(#[from] PeerWireError),
@@ -63,18 +67,27 @@
 pub(crate) struct Peers {
     name: InstanceName,
     keys: Vec<PeerKey>,
+    /// The memory for the messages of all other instances.
+    memory: Arc<MemoryBudget>,
     connections: Ranked<IndexMap<SocketAddr, SendRequest<Bytes>>>,
 }
 
 impl Peers {
-    pub(crate) fn new(name: InstanceName, keys: Vec<PeerKey>) -> Self {
+    /// Creates an instance's connections; the messages on them take at most `max_memory` together.
+    pub(crate) fn new(name: InstanceName, keys: Vec<PeerKey>, max_memory: ByteCount) -> Self {
         Self {
             name,
             keys,
+            memory: MemoryBudget::new(max_memory),
             connections: Ranked::new(Rank::Peers, IndexMap::new()),
         }
     }
 
+    /// The memory for the messages of all other instances.
+    pub(crate) fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Sends a request to the instance at `addr` and waits for its reply, up to `within` for its
     /// first bytes and for the next ones each time. On any failure the connection is dropped.
     pub(crate) async fn request(
@@ -108,10 +121,11 @@
             REQUEST_PATH,
             &PeerRequestWire::from(request),
             MAX_MESSAGE_BYTES,
+            &self.memory,
             received,
         )
         .await?;
-        let wire: PeerResponseWire = peer_wire::decode::<_, MAX_MESSAGE_BYTES>(&body)?;
+        let wire: PeerResponseWire = peer_wire::decode::<_, MAX_MESSAGE_BYTES>(&body.bytes)?;
         Ok(wire.try_into()?)
     }
 
@@ -143,9 +157,18 @@
             nonce: peer_auth::nonce(),
         };
         let ignored = AtomicUsize::new(0);
-        let body = call(sender, HELLO_PATH, &hello, MAX_HELLO_BYTES, &ignored).await?;
-        peer_wire::version(&body)?;
-        let challenge: ChallengeWire = peer_wire::decode::<_, MAX_HELLO_BYTES>(&body)?;
+        let memory = &self.memory;
+        let hello_reply = call(
+            sender,
+            HELLO_PATH,
+            &hello,
+            MAX_HELLO_BYTES,
+            memory,
+            &ignored,
+        )
+        .await?;
+        peer_wire::version(&hello_reply.bytes)?;
+        let challenge: ChallengeWire = peer_wire::decode::<_, MAX_HELLO_BYTES>(&hello_reply.bytes)?;
         let transcript = Transcript {
             name: hello.name,
             client: hello.nonce,
@@ -158,7 +181,15 @@
             .ok_or(PeerError::Unauthenticated)?;
         let proof = peer_auth::prove(key, Side::Client, &transcript);
         let proof = ProofWire { proof };
-        call(sender, PROOF_PATH, &proof, MAX_HELLO_BYTES, &ignored).await?;
+        call(
+            sender,
+            PROOF_PATH,
+            &proof,
+            MAX_HELLO_BYTES,
+            memory,
+            &ignored,
+        )
+        .await?;
         Ok(())
     }
 }
@@ -189,8 +220,9 @@
     path: &str,
     message: &impl Serialize,
     max_bytes: usize,
+    budget: &Arc<MemoryBudget>,
     received: &AtomicUsize,
-) -> Result<Vec<u8>, PeerError> {
+) -> Result<PeerBody, PeerError> {
     let body = peer_wire::encode(message)?;
     let mut sender = sender.clone().ready().await?;
     let req = Request::post(format!("http://peer{path}"))
@@ -203,27 +235,5 @@
     if head.status != StatusCode::OK {
         return Err(PeerError::Refused(head.status));
     }
-    read_body(body, max_bytes, received)
-        .await?
-        .ok_or(PeerError::Refused(StatusCode::PAYLOAD_TOO_LARGE))
-}
-
-/// Reads a whole body; returns `None` if it has more than `max_bytes` bytes. `received` counts
-/// the bytes as they arrive.
-pub(super) async fn read_body(
-    mut body: RecvStream,
-    max_bytes: usize,
-    received: &AtomicUsize,
-) -> Result<Option<Vec<u8>>, h2::Error> {
-    let mut buf = Vec::new();
-    while let Some(chunk) = body.data().await {
-        let chunk = chunk?;
-        if buf.len() + chunk.len() > max_bytes {
-            return Ok(None);
-        }
-        buf.extend_from_slice(&chunk);
-        received.store(buf.len(), Ordering::Relaxed);
-        body.flow_control().release_capacity(chunk.len())?;
-    }
-    Ok(Some(buf))
+    Ok(peer_body::read(body, max_bytes, budget, received).await?)
 }
--- a/src/connection/peer_server.rs
+++ b/src/connection/peer_server.rs
@@ -15,13 +15,14 @@
 
 use super::MAX_HEADER_LIST_BYTES;
 use super::listener::serve_each;
-use super::peer::{self, HELLO_PATH, PROOF_PATH, REQUEST_PATH};
+use super::peer::{HELLO_PATH, PROOF_PATH, REQUEST_PATH};
 use super::peer_auth::{self, Side, Transcript};
+use super::peer_body::{self, PeerBodyError};
 use super::peer_wire::{
     self, ChallengeWire, HelloWire, MAX_HELLO_BYTES, MAX_MESSAGE_BYTES, PROTOCOL, PeerRequestWire,
     PeerResponseWire, PeerWireError, ProofWire,
 };
-use crate::process::{PeerRequest, PeerResponse, Rank, Ranked};
+use crate::process::{MemoryBudget, PeerRequest, PeerResponse, Rank, Ranked};
 use crate::types::PeerKey;
 use crate::types::Span;
 
@@ -35,6 +36,9 @@
     /// The keys by which other instances may authenticate.
     fn peer_keys(&self) -> &[PeerKey];
 
+    /// The memory for the messages of all other instances.
+    fn memory(&self) -> &Arc<MemoryBudget>;
+
     /// Records that a request was refused and its connection is being closed.
     fn refused(&self, status: StatusCode);
 
@@ -102,16 +106,18 @@
     } else {
         MAX_HELLO_BYTES
     };
-    let result = match peer::read_body(body, max_bytes, &AtomicUsize::new(0)).await {
-        Ok(Some(body)) => match head.uri.path() {
-            HELLO_PATH => handle_hello(&*handler, &auth_state, &body),
-            PROOF_PATH => handle_proof(&*handler, &auth_state, &body),
-            REQUEST_PATH if authenticated => handle_request(&*handler, &body).await,
+    let ignored = AtomicUsize::new(0);
+    let result = match peer_body::read(body, max_bytes, handler.memory(), &ignored).await {
+        Ok(body) => match head.uri.path() {
+            HELLO_PATH => handle_hello(&*handler, &auth_state, &body.bytes),
+            PROOF_PATH => handle_proof(&*handler, &auth_state, &body.bytes),
+            REQUEST_PATH if authenticated => handle_request(&*handler, &body.bytes).await,
             REQUEST_PATH => Err(StatusCode::UNAUTHORIZED),
             _ => Err(StatusCode::NOT_FOUND),
         },
-        Ok(None) => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Err(_) => return,
+        Err(PeerBodyError::TooLarge) => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Err(PeerBodyError::OutOfMemory) => Err(StatusCode::SERVICE_UNAVAILABLE),
+        Err(PeerBodyError::Http2(_)) => return,
     };
     if let Err(status) = result {
         handler.refused(status);
--- a/src/connection/peer_slow_link_tests.rs
+++ b/src/connection/peer_slow_link_tests.rs
@@ -14,10 +14,11 @@
 use super::peer::{PeerError, Peers};
 use super::peer_server::{PeerRequestHandler, accept};
 use super::slow_link::slow_link;
-use crate::process::{Object, ObjectKey, PeerRequest, PeerResponse};
+use crate::process::{MemoryBudget, Object, ObjectKey, PeerRequest, PeerResponse};
 use crate::types::{ByteCount, ObjectVersion, PeerKey, Span};
 
 const TIMEOUT: Span = Span::from_secs(1);
+const MEMORY: ByteCount = ByteCount(20 << 20);
 
 struct Case {
     size: ByteCount,
@@ -30,6 +31,7 @@
 #[derive(Debug)]
 struct Holder {
     keys: [PeerKey; 1],
+    memory: Arc<MemoryBudget>,
     size: ByteCount,
     silent: bool,
 }
@@ -39,6 +41,10 @@
         &self.keys
     }
 
+    fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     fn refused(&self, _status: StatusCode) {}
 
     fn answer(&self, _request: PeerRequest) -> BoxFuture<'_, PeerResponse> {
@@ -78,12 +84,13 @@
         let addr: SocketAddr = listener.local_addr().unwrap();
         let holder = Holder {
             keys: [key()],
+            memory: MemoryBudget::new(MEMORY),
             size: case.size,
             silent: case.silent,
         };
         spawn(accept(Arc::new(holder), listener));
         let link = slow_link(addr, case.bytes_per_sec).await;
-        let peers = Peers::new("n1".parse().unwrap(), vec![key()]);
+        let peers = Peers::new("n1".parse().unwrap(), vec![key()], MEMORY);
         let request = PeerRequest::Fetch(vec![ObjectKey::new("indexes/a")]);
         let began = Instant::now();
         let reply = peers.request(link, &request, TIMEOUT).await;
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -43,7 +43,8 @@
     pub(crate) peer_key: PeerKey,
     pub(crate) repeats: RetryLimits,
     pub(crate) stop: StopTimes,
-    /// The memory for the requests of all callers, and as much for the replies of all upstreams.
+    /// The memory for the requests of all callers, as much for the replies of all upstreams, and as
+    /// much for the messages of other instances.
     pub(crate) message_memory: ByteCount,
 }
 
@@ -84,7 +85,11 @@
         let now = clock.now();
         let name = settings.me.member.name.clone();
         let home = settings.me.member.failure_domain.clone();
-        let peers = Peers::new(name, vec![settings.peer_key.clone()]);
+        let peers = Peers::new(
+            name,
+            vec![settings.peer_key.clone()],
+            settings.message_memory,
+        );
         engine.tables.upstreams.lock().set_home(home);
         engine
             .tables
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -8,7 +8,7 @@
 use super::Node;
 use crate::connection::PeerRequestHandler;
 use crate::error::{ErrorKind, Refusal};
-use crate::process::{PeerRequest, PeerResponse, RoutePlan};
+use crate::process::{MemoryBudget, PeerRequest, PeerResponse, RoutePlan};
 use crate::request::{Answer, Part, Query, QueryOptions, merge_top_records};
 use crate::types::{Fingerprint, PeerKey, QueryId, Span, Timestamp};
 use crate::version::Snapshot;
@@ -202,6 +202,10 @@
         std::slice::from_ref(&self.settings.peer_key)
     }
 
+    fn memory(&self) -> &Arc<MemoryBudget> {
+        self.peers.memory()
+    }
+
     fn refused(&self, status: StatusCode) {
         self.engine.metrics.members.refused_peer(status);
     }
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -11,7 +11,7 @@
 use super::lead::{self, LeaderState};
 use super::members::Role;
 use super::peer_messages::{HeartbeatReply, PeerRequest, PeerResponse};
-use super::{Instance, Object, ObjectKey};
+use super::{Instance, MemoryBudget, Object, ObjectKey};
 use crate::connection::PeerRequestHandler;
 use crate::error::{ErrorKind, Refusal};
 use crate::types::{InstanceName, PeerKey, Span};
@@ -241,6 +241,10 @@
         &self.settings.peer_keys
     }
 
+    fn memory(&self) -> &Arc<MemoryBudget> {
+        self.peers.memory()
+    }
+
     fn refused(&self, status: StatusCode) {
         self.engine.metrics.members.refused_peer(status);
     }
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -15,11 +15,13 @@
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, Query, QueryRequest};
-use crate::types::{Fingerprint, Span, Timestamp};
+use crate::types::{ByteCount, Fingerprint, Span, Timestamp};
 use crate::version::Class;
 
 /// Claiming an order may take the order's timeout divided by this.
 const CLAIM_TIME_DIVISOR: u64 = 2;
+/// The memory for the messages of all other instances.
+const PEER_MEMORY: ByteCount = ByteCount(64 << 20);
 /// The part of the timeout that is reserved for sending the answer.
 const ANSWER_MARGIN: Span = Span::from_millis(2);
 
@@ -53,7 +55,11 @@
         let members = Members::of(&settings);
         let (heartbeats, end) = heartbeat::heartbeats();
         let shutdown = Ranked::new(Rank::Shutdown, Shutdown::new(settings.stop_times()));
-        let peers = Peers::new(settings.name.clone(), settings.peer_keys.clone());
+        let peers = Peers::new(
+            settings.name.clone(),
+            settings.peer_keys.clone(),
+            PEER_MEMORY,
+        );
         let instance = Arc::new(Self {
             settings,
             clock,
