Take requests with up to 256 header fields

Cause: the array for the fields had 64 places.

There are 256 now. A limit stays, since each field takes many times the memory of its bytes.

Test: a_request_may_have_many_fields, with 64 places two of four cases fail.

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -19,7 +19,8 @@
 pub(super) const READ_BYTES: usize = 4 << 10;
 /// A large body is read in pieces of up to this size, as long as they arrive at once.
 const MAX_READ_BYTES: usize = 64 << 10;
-const MAX_HEADERS: usize = 64;
+/// A head of a few kilobytes may have a few hundred short fields.
+const MAX_HEADERS: usize = 256;
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
 
 /// Why a message could not be read.
@@ -38,7 +39,7 @@
     /// The bytes are not a valid message.
     #[error("malformed message: {0}")]
     Malformed(&'static str),
-    /// The head exceeds the size limit.
+    /// The head exceeds the size limit, or has too many fields.
     #[error("the head is too large")]
     HeadTooLarge,
     /// The body exceeds the size limit.
@@ -124,7 +125,7 @@
         self.head(max_bytes, |buf| {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut req = httparse::Request::new(&mut headers);
-            let httparse::Status::Complete(len) = req.parse(buf).map_err(malformed)? else {
+            let httparse::Status::Complete(len) = req.parse(buf).map_err(head_error)? else {
                 return Ok(None);
             };
             let head = RequestHead {
@@ -146,7 +147,7 @@
         self.head(max_bytes, |buf| {
             let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
             let mut res = httparse::Response::new(&mut headers);
-            let httparse::Status::Complete(len) = res.parse(buf).map_err(malformed)? else {
+            let httparse::Status::Complete(len) = res.parse(buf).map_err(head_error)? else {
                 return Ok(None);
             };
             let head = ResponseHead {
@@ -269,11 +270,11 @@
     }
 }
 
-fn malformed(error: httparse::Error) -> HttpError {
+fn head_error(error: httparse::Error) -> HttpError {
     HttpError::Malformed(match error {
+        httparse::Error::TooManyHeaders => return HttpError::HeadTooLarge,
         httparse::Error::HeaderName => "invalid header name",
         httparse::Error::HeaderValue => "invalid header value",
-        httparse::Error::TooManyHeaders => "too many headers",
         httparse::Error::Version => "unsupported HTTP version",
         _ => "invalid start line",
     })
--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -138,3 +138,29 @@
         }
     }
 }
+
+struct FieldsCase {
+    fields: usize,
+    /// The error, or none if the request is read.
+    error: Option<&'static str>,
+}
+
+/// Guards against proper requests that are refused for the number of their fields, and against
+/// heads whose fields take many times the memory of their bytes.
+#[rstest]
+#[case::usual(FieldsCase { fields: 10, error: None })]
+#[case::many(FieldsCase { fields: 65, error: None })]
+#[case::the_most(FieldsCase { fields: 256, error: None })]
+#[case::too_many(FieldsCase { fields: 257, error: Some("HeadTooLarge") })]
+fn a_request_may_have_many_fields(#[case] case: FieldsCase) {
+    let head = format!("GET / HTTP/1.1\r\n{}\r\n", "A: b\r\n".repeat(case.fields));
+    let read = block_on(async {
+        let mut conn = sent(head.leak().as_bytes()).await;
+        conn.request(16 << 10).await
+    });
+    let error = read.as_ref().err().map(|error| format!("{error:?}"));
+    assert_eq!(error.as_deref(), case.error);
+    if let Ok(head) = read {
+        assert_eq!(head.fields.iter().count(), case.fields);
+    }
+}
