Answer requests for a head without waiting for a body

Cause: a response to HEAD has the fields of a response to GET and no body, and the instance waited for the body whose length was stated. Its own answers to HEAD, such as refusals, had a body, which the caller would have taken for the start of the next response.

The response to a HEAD request ends with its head, from replicas and to callers. The answer states no length, since the length of the replica's body is not kept.

Test: a_response_to_head_has_no_body, three framings, each with a second request on the same connection.

--- a/src/platform/answer.rs
+++ b/src/platform/answer.rs
@@ -64,6 +64,21 @@
     /// Returns the bytes of the response; `closes` announces that the connection is closed
     /// after it.
     pub(super) fn render(&self, closes: bool) -> Vec<u8> {
+        let mut text = self.render_fields(closes);
+        text.extend_from_slice(format!("Content-Length: {}\r\n\r\n", self.body.len()).as_bytes());
+        text.extend_from_slice(&self.body);
+        text
+    }
+
+    /// Like [`Response::render`], for a request that wants no body. The length that the body would
+    /// have is not known.
+    pub(super) fn render_head(&self, closes: bool) -> Vec<u8> {
+        let mut text = self.render_fields(closes);
+        text.extend_from_slice(b"\r\n");
+        text
+    }
+
+    fn render_fields(&self, closes: bool) -> Vec<u8> {
         let mut text = format!(
             "HTTP/1.1 {} {}\r\n",
             self.status,
@@ -79,8 +94,6 @@
         if closes {
             text.extend_from_slice(b"Connection: close\r\n");
         }
-        text.extend_from_slice(format!("Content-Length: {}\r\n\r\n", self.body.len()).as_bytes());
-        text.extend_from_slice(&self.body);
         text
     }
 }
--- a/src/platform/answer_tests.rs
+++ b/src/platform/answer_tests.rs
@@ -49,3 +49,13 @@
     assert!(head.contains("\r\nConnection: close"));
     assert!(head.ends_with(&format!("Content-Length: {}", body.len())));
 }
+
+/// Guards against a body that the caller takes for the start of the next response.
+#[test]
+fn a_response_to_head_ends_with_its_head() {
+    let response = refusal_response(&Refusal::new(ErrorKind::NoUpstream, "why"), Some("9c"));
+    let text = String::from_utf8(response.render_head(false)).unwrap();
+    assert!(text.starts_with("HTTP/1.1 503 Service Unavailable\r\nRequest-Id: 9c\r\n"));
+    assert_eq!(text.find("\r\n\r\n"), Some(text.len() - 4));
+    assert!(!text.contains("Content-Length"));
+}
--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -145,7 +145,12 @@
         Err(refusal) => answer::refusal_response(&refusal, id.as_deref()),
     };
     let closes = head.closes() || node.shutdown.lock().closes_connections();
-    write(conn, &response.render(closes)).await && !closes
+    let text = if head.method == "HEAD" {
+        response.render_head(closes)
+    } else {
+        response.render(closes)
+    };
+    write(conn, &text).await && !closes
 }
 
 fn prepare(head: &RequestHead, body: &[u8], query: QueryId) -> Result<RouteRequest, Refusal> {
--- a/src/platform/payload.rs
+++ b/src/platform/payload.rs
@@ -82,6 +82,11 @@
         Ok(payload)
     }
 
+    /// Whether the response to the request has no body, whatever its head states.
+    pub(super) fn wants_head_only(&self) -> bool {
+        self.head.starts_with(b"HEAD ")
+    }
+
     /// Returns the head of the HTTP request for one replica.
     pub(super) fn head(&self, upstream: &UpstreamName, time_left: Span) -> Vec<u8> {
         let mut own_headers = String::with_capacity(96);
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -96,6 +96,7 @@
             let body = match reply_head {
                 // What follows the head is of no use, and may have no end.
                 Err(LegFailure::Mangled) => Body::default(),
+                _ if payload.wants_head_only() => Body::default(),
                 _ => conn.body(head.framing()?, MAX_REPLY_BYTES).await?,
             };
             Ok::<_, HttpError>((head, reply_head, body))
--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -166,12 +166,16 @@
 }
 
 pub(super) fn leg(addr: SocketAddr, id: &str, repeatable: bool) -> LegRequest {
+    leg_by_method("GET", addr, id, repeatable)
+}
+
+fn leg_by_method(method: &str, addr: SocketAddr, id: &str, repeatable: bool) -> LegRequest {
     let fields = [("Host", "h"), ("Request-Id", id)].map(|(name, value)| httparse::Header {
         name,
         value: value.as_bytes(),
     });
     let head = RequestHead {
-        method: "GET".to_owned(),
+        method: method.to_owned(),
         target: "/".to_owned(),
         is_http10: false,
         fields: Fields::from(&fields[..]),
@@ -227,3 +231,34 @@
         }
     });
 }
+
+/// Guards against a request for a head only that waits for a body until its time is over, and
+/// against a connection that is out of step after it.
+#[rstest]
+#[case::stated_length(
+    "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nAnswer-Stamp: 1\r\nContent-Length: 3\r\n\r\n"
+)]
+#[case::chunked(
+    "HTTP/1.1 200 OK\r\nRequest-Id: one\r\nAnswer-Stamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+)]
+#[case::no_length("HTTP/1.1 200 OK\r\nRequest-Id: one\r\nAnswer-Stamp: 1\r\n\r\n")]
+fn a_response_to_head_has_no_body(#[case] response: &'static str) {
+    block_on(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            for response in [response, SECOND] {
+                read_request(&mut stream).await;
+                stream.write_all(response.as_bytes()).await.unwrap();
+            }
+            sleep(Duration::from_secs(10)).await;
+        });
+        let transport = ReplicaTransport::new(Clock::new(), MemoryBudget::new(MEMORY));
+        let head = leg_by_method("HEAD", addr, "one", true);
+        let reply = transport.call(head, ConnectionCount(1)).await.outcome;
+        assert!(reply.unwrap().body.is_empty());
+        let next = call(&transport, addr, "two", true).await;
+        assert_eq!(*next.unwrap().body, *b"two");
+    });
+}
