Heed pauses of up to ten minutes

Cause: longer statements were cut to 60 s, so that a wrong one does not lose the replica for good.

They are cut to ten minutes now, as the statement of a replica that leaves is.

--- a/src/process/stated_availability.rs
+++ b/src/process/stated_availability.rs
@@ -7,7 +7,7 @@
 const LEAVING_TTL: Span = Span::from_secs(600);
 
 /// A longer pause is cut to this, so that a wrong statement does not lose an upstream for good.
-const MAX_PAUSE: Span = Span::from_secs(60);
+const MAX_PAUSE: Span = Span::from_secs(600);
 
 /// What one upstream said of its availability.
 #[derive(Clone, Copy, Debug, Default)]
