--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use super::proxy::Proxy;
-use super::replica::{Replica, Runs};
+use super::replica::{Replica, ReplicaMode, Runs};
 use super::standin::platform::Platform;
 
 pub(crate) const HOST: &str = "soak.example";
@@ -150,6 +150,32 @@
         self.replicas.push(ProxiedReplica { replica, proxy });
     }
 
+    /// Writes a replica's entry to the store.
+    #[allow(dead_code, reason = "only the soak uses it")]
+    pub(crate) fn register(&self, at: usize) {
+        let proxied = &self.replicas[at];
+        let entry = proxied.replica.entry(proxied.proxy.addr, "ready");
+        let key = format!("servers/{}", proxied.replica.id);
+        self.store.set(&key, entry);
+    }
+
+    /// Removes a replica's entry from the store.
+    #[allow(dead_code, reason = "only the soak uses it")]
+    pub(crate) fn deregister(&self, at: usize) {
+        let key = format!("servers/{}", self.replicas[at].replica.id);
+        self.store.remove(&key);
+    }
+
+    /// Sets how all replicas of one's service behave.
+    #[allow(dead_code, reason = "only the soak uses it")]
+    pub(crate) fn set_service_mode(&self, at: usize, mode: ReplicaMode) {
+        let service = &self.replicas[at].replica.service;
+        let replicas = self.replicas.iter().map(|proxied| &proxied.replica);
+        for replica in replicas.filter(|replica| replica.service == *service) {
+            replica.set_mode(mode);
+        }
+    }
+
     /// Crashes a replica and restarts it under the same id, with a new incarnation and no state.
     pub(crate) async fn crash(&mut self, at: usize) {
         let proxied = &mut self.replicas[at];
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod store;
 
 use std::collections::HashMap;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -56,9 +57,16 @@
     CompactHistory,
     /// Removes a replica's entry from the store.
     ExpireEntry(usize),
+    /// Makes the store unavailable, so that the entries of all replicas lapse. They register again
+    /// when it is back.
+    LapsingOutage(StoreMode),
+    /// Both replicas of this one's service send refusals a second time.
+    CopiedRefusals(usize),
     PauseInstance(usize),
     KillInstance(usize),
     StopInstance(usize),
+    /// Starts an instance anew that logs much, and reads none of it.
+    UnreadOutput(usize),
     ChangeConfig,
 }
 
@@ -87,7 +95,7 @@
         StoreMode::ClosesConnections,
         StoreMode::Slow,
     ];
-    match rng.random_range(0..16) {
+    match rng.random_range(0..19) {
         0..4 => Fault::ReplicaBehaviour(
             replica,
             replica_modes[rng.random_range(0..replica_modes.len())],
@@ -102,6 +110,9 @@
         11 => Fault::PauseInstance(instance),
         12 => Fault::KillInstance(instance),
         13 => Fault::StopInstance(instance),
+        14 => Fault::LapsingOutage(store_modes[rng.random_range(0..store_modes.len())]),
+        15 => Fault::CopiedRefusals(replica),
+        16 => Fault::UnreadOutput(instance),
         _ => Fault::ChangeConfig,
     }
 }
@@ -115,10 +126,12 @@
         Fault::StoreLink(at, link_fault) => deployment.instances[at].store.set_fault(link_fault),
         Fault::Store(mode) => mode.apply_to(&deployment.store),
         Fault::CompactHistory => deployment.store.compact(),
-        Fault::ExpireEntry(at) => {
-            let id = deployment.replicas[at].replica.id.clone();
-            deployment.store.remove(&format!("servers/{id}"));
+        Fault::ExpireEntry(at) => deployment.deregister(at),
+        Fault::LapsingOutage(mode) => {
+            mode.apply_to(&deployment.store);
+            (0..deployment.replicas.len()).for_each(|at| deployment.deregister(at));
         }
+        Fault::CopiedRefusals(at) => deployment.set_service_mode(at, ReplicaMode::CopiesRefusals),
         Fault::PauseInstance(at) if !deployment.instances[at].has_exited() => {
             deployment.instances[at].signal(Signal::STOP);
         }
@@ -127,6 +140,10 @@
             deployment.instances[at].signal(Signal::TERM);
         }
         Fault::PauseInstance(_) | Fault::StopInstance(_) => {}
+        Fault::UnreadOutput(at) => {
+            deployment.instances[at].kill();
+            deployment.instances[at].start_logging_to(Stdio::piped(), "trace");
+        }
         Fault::ChangeConfig => deployment.change_config(),
     }
 }
@@ -141,13 +158,12 @@
         Fault::ReplicaLink(at, _) => deployment.replicas[at].proxy.set_fault(LinkFault::None),
         Fault::StoreLink(at, _) => deployment.instances[at].store.set_fault(LinkFault::None),
         Fault::Store(_) => StoreMode::Normal.apply_to(&deployment.store),
-        Fault::ExpireEntry(at) => {
-            let proxied = &deployment.replicas[at];
-            let entry = proxied.replica.entry(proxied.proxy.addr, "ready");
-            deployment
-                .store
-                .set(&format!("servers/{}", proxied.replica.id), entry);
+        Fault::ExpireEntry(at) => deployment.register(at),
+        Fault::LapsingOutage(_) => {
+            StoreMode::Normal.apply_to(&deployment.store);
+            (0..deployment.replicas.len()).for_each(|at| deployment.register(at));
         }
+        Fault::CopiedRefusals(at) => deployment.set_service_mode(at, ReplicaMode::Normal),
         Fault::PauseInstance(at) if !deployment.instances[at].has_exited() => {
             deployment.instances[at].signal(Signal::CONT);
         }
@@ -157,6 +173,10 @@
             deployment.instances[at].kill();
             deployment.instances[at].start();
         }
+        Fault::UnreadOutput(at) => {
+            deployment.instances[at].kill();
+            deployment.instances[at].start();
+        }
         Fault::PauseInstance(_)
         | Fault::KillInstance(_)
         | Fault::StopInstance(_)
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -22,6 +22,9 @@
 /// The longest body that an instance takes.
 const LARGE_BODY_BYTES: usize = 1 << 20;
 
+/// How the response to a request that is turned away begins.
+const REFUSAL_START: &[u8] = b"HTTP/1.1 503";
+
 /// How long a replica that turns requests away wants none.
 pub(crate) const PAUSE: Duration = Duration::from_millis(1_500);
 
@@ -37,6 +40,9 @@
     Stalls,
     /// Sheds every request and reports that it was not run.
     Sheds,
+    /// Sheds every other request, naming it, and sends that refusal once more when the next request
+    /// has arrived on its connection.
+    CopiesRefusals,
     /// Runs requests and closes the connection instead of answering.
     DropsResponses,
     /// Sends every answer twice.
@@ -179,9 +185,14 @@
 impl ReplicaServer {
     async fn serve(self, mut stream: TcpStream) {
         let mut buf = Vec::new();
+        let mut late_copy = Vec::new();
         while let Ok(Some(req)) = http::read(&mut stream, &mut buf).await {
             self.arrivals.lock().push(Instant::now());
             let mode = *self.mode.lock();
+            if !late_copy.is_empty() && stream.write_all(&late_copy).await.is_err() {
+                return;
+            }
+            late_copy.clear();
             if let ReplicaMode::Floods(flood) = mode
                 && flood != Flood::LargeBody
             {
@@ -205,6 +216,10 @@
                     return;
                 }
                 ReplicaMode::DuplicatesResponses => [answer.as_slice(), &answer].concat(),
+                ReplicaMode::CopiesRefusals if answer.starts_with(REFUSAL_START) => {
+                    late_copy.clone_from(&answer);
+                    answer
+                }
                 _ => answer,
             };
             if stream.write_all(&sent).await.is_err() {
@@ -222,6 +237,10 @@
         if mode == ReplicaMode::Sheds {
             return http::response(503, &[("Not-Executed", "1")], b"");
         }
+        if mode == ReplicaMode::CopiesRefusals && self.arrivals.lock().len().is_multiple_of(2) {
+            let fields = [("Not-Executed", "1"), ("Request-Id", request.as_str())];
+            return http::response(503, &fields, b"");
+        }
         if mode == ReplicaMode::AsksForPause {
             let pause = PAUSE.as_secs_f64().to_string();
             let fields = [("Not-Executed", "1"), ("Retry-After", pause.as_str())];
