Give each test deployment files and a key of its own

Cause: cases 1 and 9 of planned_stop give their deployments the same name, of which the paths of the settings and the key between instances are made. Case 9 begins when another case ends; if that is case 1, its end removes the settings that case 9 has just written, before its processes have read them. Instances of both also took each other for one deployment, since they watch the settings file. Concluded from the names and the order of the cases, and not from a trace.

--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -120,11 +120,12 @@
                 .map(|seed| addrs[seed * 4 + 2].to_string())
                 .collect();
             let own_addrs = &addrs[at * 4..at * 4 + 4];
-            let key = format!("the instances of {name} in process {}", std::process::id());
+            let key = format!("the instances of {name} at {}", own_addrs[0].ip());
             let settings = settings(at, own_addrs, &seeds, proxy.addr, &key, sizes.memory_mb);
+            // Deployments of one test process may have the same name.
             let path = std::env::temp_dir().join(format!(
                 "hyssopwalk-soak-{}-{name}-{at}.json",
-                std::process::id()
+                own_addrs[0].ip()
             ));
             std::fs::write(&path, settings.to_string()).expect("the settings are written");
             let mut instance = Instance {
