Let a delegate take missing entries for lapsed after an outage

What callers could see: replicas missing for up to two seconds after an outage of the store, at every instance that gets its objects from a delegate.

Cause: a reader gives entries that are deleted in the 2.2 s after an outage time to register again. An instance that begins to read the store in the place of another has not seen the outage itself, so what its first listing lacked was dropped at once.

A delegate now counts as having seen the outage if nobody has confirmed the objects for two seconds: entries lapse only after several missed heartbeats. After a shorter gap, such as a cut of the reader alone, removed replicas are dropped at once as before, since they may get no request later than their drain time. The reader's knowledge of outages moves to a type of its own.

--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod node;
 mod object_cache;
 mod object_decoder;
+mod outage;
 mod parent;
 mod replica_registry;
 mod serve;
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -72,7 +72,7 @@
 }
 
 impl ParentChoice {
-    fn is_delegated(&self, now: Timestamp) -> bool {
+    pub(super) fn is_delegated(&self, now: Timestamp) -> bool {
         self.delegated_by
             .as_ref()
             .is_some_and(|(_, until)| now < *until)
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -151,6 +151,16 @@
     peer_addr: SocketAddr,
     seeds: Vec<SocketAddr>,
     store: Arc<FakePlatform>,
+) -> Arc<Node> {
+    start_node_with(name, peer_addr, seeds, store, Box::new(VersionDecoder))
+}
+
+pub(super) fn start_node_with(
+    name: &str,
+    peer_addr: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    store: Arc<FakePlatform>,
+    decoder: Box<dyn ObjectDecoder>,
 ) -> Arc<Node> {
     let me = InstanceRecord {
         member: Member {
@@ -186,7 +196,7 @@
     };
     let clock = Clock::new();
     let engine = Engine::start(clock, Box::new(NoUpstreams), Workers::Connections).unwrap();
-    Node::start(settings, clock, engine, store, Box::new(VersionDecoder))
+    Node::start(settings, clock, engine, store, decoder)
 }
 
 /// The part of a configuration that these tests look at.
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -6,9 +6,10 @@
 use async_std::task::{sleep, spawn};
 use indexmap::IndexMap;
 
+use super::outage::LastOutage;
 use super::{Entry, EntryState, Node, ObjectCache};
 use crate::process::{Backoff, Change, Changes, Listing, Object, ObjectKey, PlatformError};
-use crate::types::{ObjectVersion, Revision, Span, Timestamp};
+use crate::types::{ObjectVersion, Revision, Span};
 
 /// How long a watch waits for changes. When a connection goes silent during a watch, its
 /// changes are delayed by this and by the timeout of a call.
@@ -21,10 +22,9 @@
 const INITIAL_PAUSE: Span = Span::from_millis(50);
 /// Configurations must be in force within three seconds, and a pause uses up part of that.
 const MAX_PAUSE: Span = Span::from_millis(800);
-/// Replicas that lapsed with an outage are back within two seconds of its end, so a
-/// deletion until then may only be a lapse.
-const LAPSE_WINDOW: Span = Span::from_millis(2_200);
-
+/// Entries lapse when several heartbeats were missed. A shorter time without the store is only a
+/// change of the reader, after which removed replicas have to be dropped at once.
+const MIN_LAPSING_OUTAGE: Span = Span::from_secs(2);
 /// Reads the objects of one prefix.
 struct PrefixReader {
     node: Arc<Node>,
@@ -32,26 +32,27 @@
     /// The revision from which the watch continues; none before the first listing.
     next_revision: Option<Revision>,
     backoff: Backoff,
-    failing: bool,
-    outage_ended: Option<Timestamp>,
+    outage: LastOutage,
 }
 
 /// Starts one reading task for each prefix.
 pub(super) fn start(node: &Arc<Node>) {
     for prefix in node.object_decoder.prefixes() {
-        let reader = PrefixReader {
+        spawn(PrefixReader::new(node, prefix).run());
+    }
+}
+
+impl PrefixReader {
+    fn new(node: &Arc<Node>, prefix: &'static str) -> Self {
+        Self {
             node: Arc::clone(node),
             prefix,
             next_revision: None,
             backoff: Backoff::new(INITIAL_PAUSE, MAX_PAUSE),
-            failing: false,
-            outage_ended: None,
-        };
-        spawn(reader.run());
+            outage: LastOutage::default(),
+        }
     }
-}
 
-impl PrefixReader {
     async fn run(mut self) {
         loop {
             if !self.should_read() {
@@ -76,6 +77,7 @@
         let node = Arc::clone(&self.node);
         match self.next_revision {
             None => {
+                self.begin_to_read();
                 let listing = node.platform.list(self.prefix).await?;
                 self.on_success();
                 self.next_revision = Some(listing.revision);
@@ -99,12 +101,20 @@
         Ok(())
     }
 
+    /// An instance that reads in the place of another has not seen an outage itself.
+    fn begin_to_read(&mut self) {
+        let now = self.node.clock.now();
+        let age = self.node.object_cache.lock().age(now);
+        let is_delegate = self.node.fleet.lock().choice.is_delegated(now);
+        if is_delegate && age.is_none_or(|age| age >= MIN_LAPSING_OUTAGE) {
+            self.outage.begin();
+        }
+    }
+
     fn on_success(&mut self) {
         self.backoff.reset();
         self.node.fleet.lock().on_store_success();
-        if self.failing {
-            self.failing = false;
-            self.outage_ended = Some(self.node.clock.now());
+        if self.outage.end(self.node.clock.now()) {
             tracing::info!(prefix = self.prefix, "the store answers again");
         }
     }
@@ -118,8 +128,7 @@
             self.next_revision = None;
             return;
         }
-        if !self.failing {
-            self.failing = true;
+        if self.outage.begin() {
             tracing::warn!(prefix = self.prefix, %error, "the store does not answer");
         }
         let now = self.node.clock.now();
@@ -131,7 +140,7 @@
     }
 
     fn apply_listing(&self, listing: Listing) {
-        let deleted = self.deleted_state();
+        let deleted = self.outage.deleted_state(self.node.clock.now());
         let entries = {
             let object_cache = self.node.object_cache.lock();
             entries_of_listing(&object_cache, self.prefix, listing, &deleted)
@@ -140,25 +149,12 @@
     }
 
     fn apply_changes(&self, changes: Changes) {
-        let deleted = self.deleted_state();
+        let deleted = self.outage.deleted_state(self.node.clock.now());
         for batch in batches(changes.changes) {
             let entries = batch.into_iter().map(|change| entry_of(change, &deleted));
             self.node.apply_entries(entries.collect());
         }
     }
-
-    /// The state of objects that are deleted now. After an outage it may only be a lapse.
-    fn deleted_state(&self) -> EntryState {
-        let now = self.node.clock.now();
-        let lapsed = self
-            .outage_ended
-            .is_some_and(|ended| now.since(ended) < LAPSE_WINDOW);
-        if lapsed {
-            EntryState::Lapsed
-        } else {
-            EntryState::Gone
-        }
-    }
 }
 
 /// Returns the entries of all listed objects, and of the known ones that the listing lacks. These
--- a/src/process/fleet/store_reader_tests.rs
+++ b/src/process/fleet/store_reader_tests.rs
@@ -1,11 +1,17 @@
 //! A release, a reshard or the start of a fleet changes hundreds of objects at once; they
 //! are applied in few batches. Changes of an object count in the order in which the store made them.
 
+use std::sync::Arc;
+
+use async_std::task::block_on;
 use rstest::rstest;
+use serde_json::json;
 
-use super::{batches, entries_of_listing, entry_of, present_entry};
-use crate::process::fleet::{EntryState, ObjectCache};
-use crate::process::{Change, Listing, Object, ObjectKey};
+use super::{PrefixReader, batches, entries_of_listing, entry_of, present_entry};
+use crate::process::fleet::slow_link_tests::start_node_with;
+use crate::process::fleet::{DecodedObject, EntryState, ObjectCache, ObjectDecoder};
+use crate::process::platform::fake::FakePlatform;
+use crate::process::{Change, Listing, Object, ObjectKey, PlatformError};
 use crate::types::{ObjectVersion, Position, Revision};
 
 struct Case {
@@ -146,3 +152,53 @@
         .find(|entry| matches!(entry.state, EntryState::Present(_)));
     assert_eq!(present.map(|entry| entry.version.0), case.present);
 }
+
+/// Lets an instance follow no objects, so that only the test reads the store.
+#[derive(Debug)]
+struct NoObjects;
+
+impl ObjectDecoder for NoObjects {
+    fn prefixes(&self) -> &'static [&'static str] {
+        &[]
+    }
+
+    fn read(&self, _key: &ObjectKey, _value: &[u8]) -> Result<DecodedObject, PlatformError> {
+        Err(PlatformError::Protocol("no object is used".to_owned()))
+    }
+}
+
+struct TakeoverCase {
+    /// Whether the instance reads the store in the place of one that does not reach it.
+    is_delegate: bool,
+    wanted: EntryState,
+}
+
+/// Guards against replicas that an instance drops at once when it begins to read the store in an
+/// outage that it has not seen itself, since their entries lapsed.
+#[rstest]
+#[case::in_the_place_of_another(TakeoverCase { is_delegate: true, wanted: EntryState::Lapsed })]
+#[case::by_itself(TakeoverCase { is_delegate: false, wanted: EntryState::Gone })]
+fn a_delegate_takes_missing_entries_for_lapsed(#[case] case: TakeoverCase) {
+    block_on(async {
+        let store = Arc::new(FakePlatform::default());
+        let version = store.set("servers/a", &json!({"version": 1}));
+        let addr = "127.0.0.1:1".parse().unwrap();
+        let decoder = Box::new(NoObjects);
+        let node = start_node_with("n", addr, Vec::new(), Arc::clone(&store), decoder);
+        // Learned from another instance, so that the store has not confirmed it here.
+        node.apply_entries(vec![present_entry(object(version.0))]);
+        store.remove("servers/a");
+        if case.is_delegate {
+            let (now, reader) = (node.clock.now(), "other".parse().unwrap());
+            node.fleet.lock().on_followed(now, &reader, true);
+        }
+        PrefixReader::new(&node, "servers").read().await.unwrap();
+        let changes = node
+            .object_cache
+            .lock()
+            .since(Position::default(), usize::MAX);
+        let mut entries = changes.entries.into_iter();
+        let entry = entries.find(|entry| entry.key == ObjectKey::new("servers/a"));
+        assert_eq!(entry.map(|entry| entry.state), Some(case.wanted));
+    });
+}
