Skip the late copy of an earlier response

What callers saw: a request, also an order, was answered 502 (or sent again, if it may be repeated) because a late copy of the response to an earlier request arrived on its connection before its own.

Cause: any response that names another request was mangled, so the leg failed as one that may have run, and the connection was closed. But such a copy belongs to no request, and its id tells so: the connection has already had its response to that request.

It is read and dropped now, and the next response is waited for within the leg's time. Only ids that the connection has carried are skipped; a response to any other request is mangled as before. After a response to HEAD the connection is closed, since a copy of it could not be told from one with a body.

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -173,6 +173,14 @@
         if !body.is_empty() {
             self.write(body).await?;
         }
+        self.next_response().await
+    }
+
+    /// Reads the head of one more response to a request that was sent.
+    ///
+    /// # Errors
+    /// Any [`HttpError`] except `BodyTooLarge`.
+    pub(crate) async fn next_response(&mut self) -> Result<ResponseHead, HttpError> {
         self.response(MAX_RESPONSE_HEAD_BYTES).await
     }
 
--- a/src/platform/carried.rs
+++ b/src/platform/carried.rs
@@ -11,7 +11,7 @@
 pub(super) struct CarriedRequests(Vec<(Box<str>, Timestamp)>);
 
 impl CarriedRequests {
-    /// Whether the request was sent on the connection and may be sent again.
+    /// Whether the request was answered on the connection, so that another response to it is a copy.
     pub(super) fn contains(&self, id: &str) -> bool {
         self.0.iter().any(|(carried, _)| **carried == *id)
     }
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -88,7 +88,12 @@
         let request_head = payload.head(&leg.upstream.name, left);
         let reply_timeout = Span(left.0 + REPLY_SLACK.0);
         let exchanging = async {
-            let head = conn.send(&request_head, payload.body).await?;
+            let mut head = conn.send(&request_head, payload.body).await?;
+            // A late copy of an earlier response, which belongs to no request.
+            while reply::named_request(&head).is_some_and(|id| carried.contains(id)) {
+                conn.body(head.framing()?, MAX_REPLY_BYTES).await?;
+                head = conn.next_response().await?;
+            }
             if reply::is_from_upstream(&head, payload.id) {
                 *signals = Some(signals::decode(&head));
             }
@@ -105,7 +110,9 @@
             .await
             .map_err(|_| LegFailure::OutOfTime)?
             .map_err(|error| leg_failure(&error))?;
+        // A late copy of a response to HEAD could not be skipped: nothing tells that it has no body.
         if !head.closes()
+            && !payload.wants_head_only()
             && !conn.has_buffered_bytes()
             && let Some(history) = reply::history_after(&head, &reply_head)
         {
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -43,6 +43,11 @@
     is_echoed(head, id) && head.status != MISDIRECTED
 }
 
+/// Returns the id of the request that the response names.
+pub(super) fn named_request(head: &ResponseHead) -> Option<&str> {
+    head.fields.get(REQUEST_ID)
+}
+
 /// Whether the response names no other request.
 fn is_echoed(head: &ResponseHead, id: &str) -> bool {
     !head.fields.has(REQUEST_ID) || head.fields.get(REQUEST_ID) == Some(id)
