Skip a few late copies, and not ones without end

Found on reading the change: a replica that sends copies without end would have kept the loop that skips them busy until the leg's time was over, and with bytes always there it would not have let other requests run. Four are skipped now, then the reply is mangled and its connection closed.

Test: case without_end_before_the_next of a_late_copy_is_not_the_next_response.

--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -8,10 +8,11 @@
 use futures::future::BoxFuture;
 use indexmap::IndexMap;
 
+use super::carried::CarriedRequests;
 use super::payload::Payload;
 use super::replica_pool::{Pool, PooledConn};
 use super::{reply, signals};
-use crate::connection::{HttpError, ResponseHead};
+use crate::connection::{Http1Conn, HttpError, ResponseHead};
 use crate::process::{Clock, LegResult, LegTransport, MemoryBudget, Rank, Ranked, UpstreamSignals};
 use crate::request::{Body, LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, Span, UpstreamName};
@@ -26,6 +27,8 @@
 const KEEP_ALIVE_QUARTERS: u64 = 3;
 /// The platform's values have at most a megabyte.
 const MAX_REPLY_BYTES: usize = 1 << 20;
+/// A replica that sends more late copies than this before a response may send them without end.
+const MAX_LATE_COPIES: usize = 4;
 /// From this number of pools on, unused ones (of replicas that are gone) are dropped before a new
 /// one is added.
 const PRUNE_THRESHOLD: usize = 512;
@@ -88,12 +91,7 @@
         let request_head = payload.head(&leg.upstream.name, left);
         let reply_timeout = Span(left.0 + REPLY_SLACK.0);
         let exchanging = async {
-            let mut head = conn.send(&request_head, payload.body).await?;
-            // A late copy of an earlier response, which belongs to no request.
-            while reply::named_request(&head).is_some_and(|id| carried.contains(id)) {
-                conn.body(head.framing()?, MAX_REPLY_BYTES).await?;
-                head = conn.next_response().await?;
-            }
+            let head = send(&mut conn, &carried, &request_head, payload.body).await?;
             if reply::is_from_upstream(&head, payload.id) {
                 *signals = Some(signals::decode(&head));
             }
@@ -147,6 +145,26 @@
     }
 }
 
+/// Sends a request and reads the head of its response. Late copies of the responses to requests that
+/// the connection carried before belong to no request, and are dropped.
+async fn send(
+    conn: &mut Http1Conn,
+    carried: &CarriedRequests,
+    request_head: &[u8],
+    request_body: &[u8],
+) -> Result<ResponseHead, HttpError> {
+    let mut head = conn.send(request_head, request_body).await?;
+    for _ in 0..MAX_LATE_COPIES {
+        let is_copy = reply::named_request(&head).is_some_and(|id| carried.contains(id));
+        if !is_copy {
+            break;
+        }
+        conn.body(head.framing()?, MAX_REPLY_BYTES).await?;
+        head = conn.next_response().await?;
+    }
+    Ok(head)
+}
+
 fn leg_failure(error: &HttpError) -> LegFailure {
     match error {
         HttpError::Io(_) | HttpError::Closed => LegFailure::Lost,
--- a/src/platform/replicas_tests.rs
+++ b/src/platform/replicas_tests.rs
@@ -33,6 +33,7 @@
     /// The same, in two packets.
     BeforeTheNextInPieces,
     TwiceBeforeTheNext,
+    EndlesslyBeforeTheNext,
     /// A response to a request that this connection has not carried.
     UnknownBeforeTheNext,
 }
@@ -72,6 +73,7 @@
 #[case::named_refusal_before_an_order(Case { first: NAMED_REFUSAL, copied: Copied::BeforeTheNext, repeatable: false, is_answered: true })]
 #[case::named_before_an_order(Case { first: NAMED, copied: Copied::BeforeTheNext, repeatable: false, is_answered: true })]
 #[case::twice_before_the_next(Case { first: NAMED, copied: Copied::TwiceBeforeTheNext, repeatable: true, is_answered: true })]
+#[case::without_end_before_the_next(Case { first: NAMED, copied: Copied::EndlesslyBeforeTheNext, repeatable: true, is_answered: false })]
 #[case::of_an_unknown_request(Case { first: NAMED, copied: Copied::UnknownBeforeTheNext, repeatable: true, is_answered: false })]
 #[case::named_after_interim(Case { first: NAMED_AFTER_INTERIM, copied: Copied::BeforeTheNext, repeatable: true, is_answered: true })]
 #[case::unnamed_with_the_response(Case { first: UNNAMED, copied: Copied::WithTheResponse, repeatable: true, is_answered: true })]
@@ -135,6 +137,11 @@
             stream.write_all(head.as_bytes()).await.ok()?;
             sleep(Duration::from_millis(20)).await;
             stream.write_all(tail.as_bytes()).await.ok()?;
+            if matches!(copied, Copied::EndlesslyBeforeTheNext) {
+                loop {
+                    stream.write_all(first.as_bytes()).await.ok()?;
+                }
+            }
         }
         if !is_first {
             stream.write_all(SECOND.as_bytes()).await.ok()?;
@@ -153,6 +160,7 @@
             Copied::BeforeTheNext
             | Copied::BeforeTheNextInPieces
             | Copied::TwiceBeforeTheNext
+            | Copied::EndlesslyBeforeTheNext
             | Copied::UnknownBeforeTheNext => {
                 stream.write_all(first.as_bytes()).await.ok()?;
                 is_copy_due = true;
