--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -18,8 +18,7 @@
 const AVOID_AFTER_DRAIN: Span = Span::from_secs(5);
 const SHED_BACKOFF: Span = Span::from_millis(5);
 const MAX_SHED_BACKOFF: Span = Span::from_millis(500);
-/// Backoff while all connections of this instance's share are busy. The next reply on one
-/// of them frees it.
+/// Backoff while all connections of this instance's share are busy; the next reply frees one.
 const CONNECTION_SHARE_BACKOFF: Span = Span::from_millis(4);
 /// An upstream is avoided after this many consecutive legs were cancelled without a reply,
 /// because another replica had replied. A short pause of a replica ends before that.
@@ -37,9 +36,8 @@
 /// How fast the shed ratio decays while no legs are sent: replicas were observed to shed
 /// for five to nine seconds at a time.
 const SHED_HALF_LIFE: Span = Span::from_secs(2);
-/// The latency cost of a shed leg. Sending it again takes one of the few repeats that all
-/// instances share, and without a repeat the part of that shard is missing. That costs
-/// more than the longest latency target of a gather, 300 ms.
+/// The latency cost of a shed leg. Sending it again takes one of the few repeats that all instances
+/// share, and without one that shard is missing: more than a gather's longest target of 300 ms.
 const SHED_COST: Span = Span::from_millis(500);
 
 /// What this instance has observed of one upstream.
@@ -168,8 +166,7 @@
         self.gone_snapshots[at] = Some((snapshot, now + GONE_SNAPSHOT_TTL));
     }
 
-    /// The end of the backoff after it shed a leg or had no free connection, and of the pause
-    /// that it asked for.
+    /// The end of the backoff after a shed leg or without a free connection, and of a stated pause.
     pub(super) fn backoff_until(&self, now: Timestamp) -> Timestamp {
         let stated = self.stated.room_at(now).unwrap_or(now);
         self.backoff_until.max(stated)
