--- a/src/platform/carried.rs
+++ b/src/platform/carried.rs
@@ -1,12 +1,13 @@
 //! The requests that a connection to a replica has carried.
 //!
 //! Responses name their request and not the leg that they answer, so a late copy of a refusal looks
-//! like the response to the next leg of the same request. See `docs/DESIGN.md`, "Late copies of
-//! responses".
+//! like the response to the next leg of the same request, which therefore takes another connection.
+//! A response to any other request in the list is a late copy too. See `docs/DESIGN.md`, "Late copies
+//! of responses".
 
 use crate::types::Timestamp;
 
-/// The requests that a connection has carried and that may be sent again.
+/// The requests that were answered on a connection, for as long as they may be sent again.
 #[derive(Clone, Debug, Default)]
 pub(super) struct CarriedRequests(Vec<(Box<str>, Timestamp)>);
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,8 +16,9 @@
 /// The part of the grace period (from the stop signal to the forced kill) that is kept as a margin.
 const KILL_MARGIN: Span = Span::from_millis(700);
 const MIN_DRAIN: Span = Span::from_millis(200);
-/// The part of the memory that callers' requests may hold, and as much again for replies. A message
-/// is held in two forms for a moment, and most of the memory is left for everything else.
+/// The part of the memory that callers' requests may hold, and as much each for replies and for
+/// messages of other instances. A message is held in two forms for a moment, and most of the memory
+/// is left for everything else.
 const MESSAGE_MEMORY_DIVISOR: u64 = 8;
 
 /// The platform's settings that are used; unknown fields are ignored.
--- a/src/process/upstream_stats.rs
+++ b/src/process/upstream_stats.rs
@@ -36,8 +36,8 @@
 /// How fast the shed ratio decays while no legs are sent: replicas were observed to shed
 /// for five to nine seconds at a time.
 const SHED_HALF_LIFE: Span = Span::from_secs(2);
-/// The latency cost of a shed leg. Sending it again takes one of the few repeats that all instances
-/// share, and without one that shard is missing: more than a gather's longest target of 300 ms.
+/// The latency cost of a shed leg, above the longest latency target of a gather, 300 ms: it takes one
+/// of the few repeats that all instances share, and without a repeat the part of its shard is missing.
 const SHED_COST: Span = Span::from_millis(500);
 
 /// What this instance has observed of one upstream.
