Let upstreams that live withdraw the verdict on a request

Cause: a connection that breaks under a leg counted as a crash of the upstream. Two of them without a reply between condemned the request for 600 s, at this instance and at all that were told. What is refused is not sent, so no reply could clear it, and the other instances were not told what the verdict rests on.

Fix: an incident names the upstreams that were lost, and does not count once each has replied to a leg that was sent after the loss; on the platform an upstream that starts again has another name, so what crashed cannot prove that it lives. A poison request is tried on one upstream 10 s after the second incident and 120 s after each further one, by one instance at a time. Instances report the incidents of poison requests and the replies that clear them to each other, so each can check. Marks from instances of the version before count as before.

Ruled out: the route and the replicas, which served all other requests.

The eviction of marks now drops an eighth at a time; one at a time walked over all marks for each lost connection.

--- a/src/connection/fleet_samples.rs
+++ b/src/connection/fleet_samples.rs
@@ -7,8 +7,9 @@
 
 use super::peer_tests::{member, name};
 use crate::process::{
-    Chunk, Entry, EntryState, FollowReason, FollowRequest, InstanceRecord, LargeObject, ObjectKey,
-    PeerRequest, PeerResponse, SilenceReport, SilentReplica, Updates,
+    Chunk, Entry, EntryState, FollowReason, FollowRequest, IncidentReport, InstanceRecord,
+    LargeObject, MarkReport, ObjectKey, PeerRequest, PeerResponse, SilenceReport, SilentReplica,
+    Updates,
 };
 use crate::types::{ByteCount, ChunkId, Fingerprint, Incarnation, ObjectVersion, Position, Span};
 
@@ -70,6 +71,35 @@
     }
 }
 
+prop_compose! {
+    fn incident()(
+        id: u64,
+        age: u64,
+        losses in vec((name(), any::<u64>()), 0..4),
+    ) -> IncidentReport {
+        let losses = losses.into_iter();
+        IncidentReport {
+            id,
+            age: Span(age),
+            losses: losses.map(|(name, age)| (name.parse().unwrap(), Span(age))).collect(),
+        }
+    }
+}
+
+prop_compose! {
+    fn mark()(
+        request: u64,
+        replied in prop::option::of(any::<u64>()),
+        incidents in vec(incident(), 0..4),
+    ) -> MarkReport {
+        MarkReport { request: Fingerprint(request), replied: replied.map(Span), incidents }
+    }
+}
+
+pub(super) fn marks() -> impl Strategy<Value = PeerRequest> {
+    vec(mark(), 0..4).prop_map(PeerRequest::Marks)
+}
+
 prop_compose! {
     pub(super) fn follow_request()(
         from in instance_record(),
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -26,6 +26,7 @@
 mod leg_wire;
 mod links;
 mod listener;
+mod mark_wire;
 mod operator_api;
 mod operator_wire;
 mod peer;
@@ -76,7 +77,7 @@
 pub(crate) use http1_samples::{response_head, sent};
 pub(crate) use links::Links;
 pub(crate) use listener::{serve_each, serve_until};
-pub(crate) use peer::Peers;
+pub(crate) use peer::{PeerError, Peers};
 pub(crate) use peer_server::{PeerRequestHandler, accept as accept_peers};
 
 /// The longest header list of an HTTP/2 message. The library's own limit is many megabytes.
--- a/src/connection/peer_tests.rs
+++ b/src/connection/peer_tests.rs
@@ -7,7 +7,7 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use super::fleet_samples::{follow_request, updates};
+use super::fleet_samples::{follow_request, marks, updates};
 use super::peer_auth::{self, Side, Transcript};
 use super::peer_wire::{
     self, ChallengeWire, HelloWire, MAX_HELLO_BYTES, MAX_MESSAGE_BYTES, PROTOCOL, PeerRequestWire,
@@ -142,7 +142,7 @@
     let fetch = vec(name(), 0..8);
     let fetch =
         fetch.prop_map(|keys| PeerRequest::Fetch(keys.into_iter().map(ObjectKey::new).collect()));
-    prop_oneof![heartbeat(), fetch, follow_request()]
+    prop_oneof![heartbeat(), fetch, follow_request(), marks()]
 }
 
 fn response() -> impl Strategy<Value = PeerResponse> {
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -9,6 +9,7 @@
 use super::entry_wire::PartRequestWire;
 use super::fleet_wire::{FollowRequestWire, UpdatesWire};
 use super::heartbeat_wire::{HeartbeatReplyWire, HeartbeatWire, ObjectWire};
+use super::mark_wire::MarkWire;
 use crate::process::{Member, Object, ObjectKey, PeerRequest, PeerResponse, Updates};
 use crate::types::{Incarnation, ParseError};
 
@@ -110,6 +111,8 @@
     FollowPart(Box<FollowRequestWire>, PartRequestWire),
     /// A follow request that also requests chunks of large objects.
     FollowChunks(Box<FollowRequestWire>, Vec<u128>),
+    /// The version before cannot read this, and nothing depends on its answer.
+    Marks(Vec<MarkWire>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -175,6 +178,9 @@
                 Self::Heartbeat(Box::new(heartbeat.as_ref().into()))
             }
             PeerRequest::Fetch(keys) => Self::Fetch(keys.iter().map(ToString::to_string).collect()),
+            PeerRequest::Marks(reports) => {
+                Self::Marks(reports.iter().map(MarkWire::from).collect())
+            }
             PeerRequest::Follow(follow) => {
                 let wire = Box::new(follow.as_ref().into());
                 if follow.chunks.is_empty() {
@@ -201,6 +207,7 @@
             PeerRequestWire::Follow(follow) | PeerRequestWire::FollowPart(follow, _) => {
                 Self::Follow(Box::new((*follow).try_into()?))
             }
+            PeerRequestWire::Marks(marks) => Self::Marks(collect(marks)?),
             PeerRequestWire::FollowChunks(follow, chunks) => {
                 Self::Follow(Box::new(follow.with_chunks(chunks)?))
             }
--- a/src/process/dispatch.rs
+++ b/src/process/dispatch.rs
@@ -163,6 +163,9 @@
         outcome: result,
     } = engine.transport.call(leg, max_connections).await;
     if let Some(signals) = signals {
+        let mut suspects = engine.tables.suspects.lock();
+        suspects.survived(sent_at, &upstream.name);
+        drop(suspects);
         note_signals(&engine, &upstream, sent_at, signals);
     }
     if result.is_ok() {
--- /dev/null
+++ b/src/process/fleet/marks.rs
@@ -0,0 +1,147 @@
+//! Shares with other instances which requests lost their connections to upstreams, and which had a
+//! reply since.
+//!
+//! Each instance passes on what is new to it to a few others, which reaches all of them within
+//! a few steps. See `docs/DESIGN.md`, "Poison requests".
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use async_std::channel::Receiver;
+use async_std::task::sleep;
+use futures::future::join_all;
+use http::StatusCode;
+use indexmap::{IndexMap, IndexSet};
+
+use super::Node;
+use crate::connection::PeerError;
+use crate::error::{ErrorKind, Refusal};
+use crate::process::cells::{Member, MemberState};
+use crate::process::{MarkReport, PeerRequest};
+use crate::types::{Fingerprint, Incarnation, Span, Timestamp};
+
+/// How many other instances are told. More would need more connections than are kept open.
+const RECIPIENTS: u32 = 6;
+/// Most suspects are cleared within this time by the reply to a second leg.
+const SHARE_DELAY: Span = Span::from_millis(100);
+/// The pause between two messages to the same few instances, while marks change all the time.
+const SHARE_INTERVAL: Span = Span::from_millis(300);
+const SEND_TIMEOUT: Span = Span::from_millis(900);
+
+/// The instances of the version before, which cannot read marks and close the connection.
+type OlderInstances = IndexMap<SocketAddr, Incarnation>;
+
+/// Sends marks to other instances as they change, until the process ends.
+pub(super) async fn share(node: Arc<Node>, updates: Receiver<()>) {
+    let mut older = OlderInstances::new();
+    while updates.recv().await.is_ok() {
+        sleep(SHARE_DELAY.as_duration()).await;
+        let reports = {
+            let mut suspects = node.engine.tables.suspects.lock();
+            suspects.take_reports(node.clock.now())
+        };
+        if !reports.is_empty() {
+            log(&node, &reports);
+            send(&node, reports, &mut older).await;
+            sleep(SHARE_INTERVAL.as_duration()).await;
+        }
+        node.engine.tables.suspects.lock().wake_if_unshared();
+    }
+}
+
+fn log(node: &Node, reports: &[MarkReport]) {
+    for report in reports {
+        if let Some(suppressed) = node.engine.may_log() {
+            let (request, incidents) = (report.request, report.incidents.len());
+            let lost = report.lost_upstreams();
+            let replied = report.replied.map(|age| age.to_string());
+            tracing::info!(%request, incidents, lost, replied, left_out = suppressed, "shares the mark of a request that lost its connections");
+        }
+    }
+}
+
+async fn send(node: &Node, reports: Vec<MarkReport>, older: &mut OlderInstances) {
+    let me = &node.settings.me.member;
+    let mut recipients: Vec<(SocketAddr, Incarnation)> = {
+        let fleet = node.fleet.lock();
+        let present = fleet.present().map(|record| &record.member).collect();
+        let chosen = recipients(present, me);
+        let address = |member: &&Member| (member.peer_addr, member.incarnation);
+        chosen.iter().map(address).collect()
+    };
+    recipients.retain(|(addr, incarnation)| older.get(addr) != Some(incarnation));
+    let request = PeerRequest::Marks(reports);
+    let requests = recipients.iter();
+    let requests = requests.map(|(addr, _)| node.peers.request(*addr, &request, SEND_TIMEOUT));
+    let outcomes = join_all(requests).await;
+    for ((addr, incarnation), outcome) in recipients.into_iter().zip(outcomes) {
+        let Err(error) = outcome else {
+            continue;
+        };
+        tracing::debug!(%addr, %error, "could not share marks of requests with an instance");
+        if matches!(error, PeerError::Refused(StatusCode::BAD_REQUEST)) {
+            older.insert(addr, incarnation);
+        }
+    }
+}
+
+/// Chooses whom this instance tells: the same ones each time, so that connections are kept. On a ring
+/// in the order of the names' hashes their distances are powers of two, spread over the whole ring.
+/// Each is told by as many as it tells, and a mark reaches all within a few steps.
+fn recipients<'a>(mut present: Vec<&'a Member>, me: &Member) -> Vec<&'a Member> {
+    present.sort_by_cached_key(|member| Fingerprint::of_name(&member.name));
+    let Some(own) = present.iter().position(|member| member.name == me.name) else {
+        return Vec::new();
+    };
+    present.rotate_left(own);
+    let others = &present[1..];
+    if others.len() <= RECIPIENTS as usize {
+        return others.to_vec();
+    }
+    let doublings = others.len().ilog2();
+    let distances = (0..RECIPIENTS).map(|number| 1 << (number * doublings / (RECIPIENTS - 1)));
+    let distances: IndexSet<usize> = distances.collect();
+    let chosen = distances.into_iter();
+    chosen.map(|distance| others[distance - 1]).collect()
+}
+
+impl Node {
+    /// Refuses a poison request unless it is this instance's turn to try it again. Returns whether
+    /// it is tried.
+    ///
+    /// # Errors
+    /// A [`Refusal`] of the kind [`ErrorKind::Poison`].
+    pub(super) fn check_quarantine(
+        &self,
+        now: Timestamp,
+        request: Fingerprint,
+    ) -> Result<bool, Refusal> {
+        let suspects = &self.engine.tables.suspects;
+        let Some(quarantine) = suspects.lock().quarantine(now, request) else {
+            return Ok(false);
+        };
+        let turn = quarantine.turn(now);
+        let is_own_turn = turn.is_some_and(|turn| self.owns_trial(request, turn));
+        if is_own_turn && suspects.lock().begin_trial(now, request) {
+            tracing::info!(%request, ?turn, "tries a request in quarantine on one upstream");
+            return Ok(true);
+        }
+        let detail = "the same request lost its upstreams and never had a reply";
+        let mut refusal = Refusal::new(ErrorKind::Poison, detail);
+        refusal.retry_after = Some(quarantine.retry_after(now));
+        Err(refusal)
+    }
+
+    /// Whether this is the one instance that may try the request in that turn.
+    fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
+        let fleet = self.fleet.lock();
+        let live = fleet.present().map(|record| &record.member);
+        let live = live.filter(|member| member.state <= MemberState::Live);
+        let owner = live.max_by_key(|member| request.of_trial_turn(turn, &member.name));
+        owner.is_none_or(|owner| owner.name == self.settings.me.member.name)
+    }
+}
+
+#[cfg(test)]
+#[path = "marks_tests.rs"]
+mod marks_tests;
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod follow;
 mod instance_record;
 mod large_objects;
+mod marks;
 mod members;
 mod messages;
 mod node;
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -9,7 +9,7 @@
 use super::addresses;
 use super::{
     Fleet, InstanceRecord, ObjectCache, ObjectDecoder, ReplicaRegistry, SilenceTracker, follow,
-    store_reader,
+    marks, store_reader,
 };
 use crate::connection::Peers;
 use crate::process::cells::MemberState;
@@ -119,6 +119,11 @@
             waiters: Ranked::new(Rank::Waiters, Vec::new()),
             settings,
         });
+        let (wake, updates) = channel::bounded(1);
+        let mut suspects = node.engine.tables.suspects.lock();
+        suspects.wake_on_unshared(wake);
+        drop(suspects);
+        async_std::task::spawn(marks::share(Arc::clone(&node), updates));
         store_reader::start(&node);
         async_std::task::spawn(follow::run(Arc::clone(&node)));
         async_std::task::spawn(follow::probe_missing(Arc::clone(&node)));
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -75,23 +75,12 @@
             Refusal::new(ErrorKind::NotFound, "no route is for this host and path")
         })?;
         let now = self.clock.now();
-        if self
-            .engine
-            .tables
-            .suspects
-            .lock()
-            .is_poison(now, req.fingerprint)
-        {
-            return Err(Refusal::new(
-                ErrorKind::Poison,
-                "the same request crashed upstreams and never had a reply",
-            ));
-        }
+        let is_trial = self.check_quarantine(now, req.fingerprint)?;
         let draw = rand::rng().random();
         let snapshot = plan
             .destination(draw)
             .ok_or_else(|| Refusal::new(ErrorKind::NoUpstream, "the route has no destination"))?;
-        let query = self.query(&plan, snapshot, req, now)?;
+        let query = self.query(&plan, snapshot, req, now, is_trial)?;
         let outcome = match self.engine.run(query, gone).await {
             Ok(answer) => build_response(&plan, snapshot, answer),
             Err(refusal) => Err(refusal),
@@ -123,6 +112,7 @@
         snapshot: &Arc<Snapshot>,
         req: RouteRequest,
         now: Timestamp,
+        is_trial: bool,
     ) -> Result<Query, Refusal> {
         let time_left = req.time_left.unwrap_or(plan.route.timeout);
         let consumed = self.time_consumed(plan, time_left);
@@ -144,6 +134,7 @@
             max_legs: plan.route.max_attempts + MAX_NOT_RUN_LEGS,
             soft_deadline: plan.gather().map(|_| soft_deadline),
             returns_upstream_errors: plan.gather().is_none(),
+            is_trial,
         };
         let query = Query::new(
             req.query,
@@ -216,6 +207,12 @@
                 PeerRequest::Follow(follow) => {
                     PeerResponse::News(Box::new(self.answer_follow(*follow).await))
                 }
+                PeerRequest::Marks(reports) => {
+                    let now = self.clock.now();
+                    let mut suspects = self.engine.tables.suspects.lock();
+                    suspects.merge_reports(now, reports);
+                    PeerResponse::Objects(Vec::new())
+                }
                 // Instances on this platform have no cells.
                 PeerRequest::Heartbeat(_) | PeerRequest::Fetch(_) => {
                     PeerResponse::Objects(Vec::new())
--- a/src/process/heartbeat.rs
+++ b/src/process/heartbeat.rs
@@ -231,7 +231,7 @@
                 keys.iter().filter_map(|key| members.object(key)),
             )),
             // An instance in a cell has no followers.
-            PeerRequest::Follow(_) => PeerResponse::Objects(Vec::new()),
+            PeerRequest::Follow(_) | PeerRequest::Marks(_) => PeerResponse::Objects(Vec::new()),
         }
     }
 }
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -14,7 +14,7 @@
 };
 use crate::connection::{Links, Peers};
 use crate::error::{ErrorKind, Refusal};
-use crate::request::{Answer, Query, QueryRequest};
+use crate::request::{Answer, Query, QueryOptions, QueryRequest};
 use crate::types::{ByteCount, Fingerprint, Span, Timestamp};
 use crate::version::Class;
 
@@ -117,11 +117,15 @@
     ) -> Result<Answer, Refusal> {
         self.check_learned()?;
         let started = self.clock.now();
-        self.refuse_poison(&query_request, started)?;
+        let is_trial = self.check_quarantine(&query_request, started)?;
         let stops_at = self.check_stopping(&query_request, started)?;
         let admitted = self.admit(&query_request)?;
         let mut claim = self.claim(&query_request, started).await?;
         let query = self.begin(query_request, started, stops_at)?;
+        let query = query.with_options(QueryOptions {
+            is_trial,
+            ..QueryOptions::default()
+        });
         if let Some(claim) = &mut claim {
             claim.begin();
         }
@@ -133,15 +137,34 @@
         outcome
     }
 
-    fn refuse_poison(&self, query_request: &QueryRequest, now: Timestamp) -> Result<(), Refusal> {
+    /// Refuses a poison request unless this instance may try it again. Returns whether it is tried.
+    fn check_quarantine(
+        &self,
+        query_request: &QueryRequest,
+        now: Timestamp,
+    ) -> Result<bool, Refusal> {
         let request = Fingerprint::of(&query_request.class, &query_request.body);
-        if !self.engine.tables.suspects.lock().is_poison(now, request) {
-            return Ok(());
+        let suspects = &self.engine.tables.suspects;
+        let Some(quarantine) = suspects.lock().quarantine(now, request) else {
+            return Ok(false);
+        };
+        let turn = quarantine.turn(now);
+        let is_own_turn = turn.is_some_and(|turn| self.owns_trial(request, turn));
+        if is_own_turn && suspects.lock().begin_trial(now, request) {
+            return Ok(true);
         }
-        Err(Refusal::new(
-            ErrorKind::Poison,
-            "the same request crashed upstreams more than once and never received a reply",
-        ))
+        let detail = "the same request crashed upstreams more than once and never received a reply";
+        let mut refusal = Refusal::new(ErrorKind::Poison, detail);
+        refusal.retry_after = Some(quarantine.retry_after(now));
+        Err(refusal)
+    }
+
+    /// Whether this instance may try the request in that turn. On average one instance may: no
+    /// instance knows the names of all others.
+    fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
+        let live = u64::from(self.orders.live()).max(1);
+        let draw = request.of_trial_turn(turn, &self.settings.name);
+        draw.0.is_multiple_of(live)
     }
 
     /// Refuses a request that might not end before this instance stops, and returns when one that
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -33,6 +33,7 @@
 mod limits;
 mod lock;
 mod log_rate;
+mod mark;
 mod member_metrics;
 mod members;
 mod memory;
@@ -47,6 +48,7 @@
 mod rate_budget;
 mod service_retry_budget;
 mod settings;
+mod shared_marks;
 mod shutdown;
 mod snapshot_availability;
 mod stated_availability;
@@ -124,6 +126,7 @@
     CellDelta, Heartbeat, HeartbeatReply, PeerRequest, PeerResponse, SeenInstance,
 };
 pub(crate) use platform::{Backoff, CallBucket};
+pub(crate) use shared_marks::{IncidentReport, MarkReport};
 pub(crate) use shutdown::{AbortedRequests, Shutdown, Step, StopSignal, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstream_signals::{LegResult, UpstreamSignals};
--- a/src/process/peer_messages.rs
+++ b/src/process/peer_messages.rs
@@ -5,6 +5,7 @@
 
 use super::cells::{CellId, CellVersion, Member};
 use super::fleet::{FollowRequest, Updates};
+use super::shared_marks::MarkReport;
 use super::{Object, ObjectKey};
 use crate::types::{
     ConfigVersion, Epoch, Fingerprint, Incarnation, InstanceName, ObjectVersion, Position, Span,
@@ -94,6 +95,8 @@
     Fetch(Vec<ObjectKey>),
     /// Requests the updates that the sender lacks; the reply may wait for one.
     Follow(Box<FollowRequest>),
+    /// Reports the marks of requests; the reply is empty.
+    Marks(Vec<MarkReport>),
 }
 
 /// The reply to a [`PeerRequest`].
--- a/src/process/poison.rs
+++ b/src/process/poison.rs
@@ -6,8 +6,9 @@
 use async_std::channel::Receiver;
 use indexmap::IndexMap;
 
+use super::mark::INCIDENT_TTL;
 use super::poison_wire::PoisonMarksWire;
-use super::suspects::{INCIDENT_TTL, SharedMark};
+use super::shared_marks::SharedMark;
 use super::{Expected, Instance, Object, ObjectKey, PlatformError};
 use crate::types::{Fingerprint, Span, UnixSeconds};
 
--- a/src/process/poison_tests.rs
+++ b/src/process/poison_tests.rs
@@ -1,7 +1,8 @@
 //! The poison marks that instances share through the platform.
 
 use super::{MAX_SHARED_MARKS, PoisonMarks, PoisonMarksWire};
-use crate::process::suspects::{INCIDENT_TTL, SharedMark};
+use crate::process::mark::INCIDENT_TTL;
+use crate::process::shared_marks::SharedMark;
 use crate::types::{Fingerprint, UnixSeconds};
 
 const NOW: UnixSeconds = UnixSeconds(1_000_000);
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -3,83 +3,149 @@
 //! A lost connection counts as an incident of every request that was in flight on it, so
 //! one incident only makes a request a suspect: its next attempt is sent to a single
 //! upstream first. Any reply clears it, since a poison request never gets one. A second
-//! incident makes it poison. See `docs/DESIGN.md`, "Poison requests".
+//! incident makes it poison: it is refused, but for a rare trial, whose reply clears it as
+//! well. An incident does not count once its upstreams prove that they did not crash. See
+//! `docs/DESIGN.md`, "Poison requests".
 
 use async_std::channel::Sender;
 use indexmap::{IndexMap, IndexSet};
 
-use crate::types::{Fingerprint, Span, Timestamp};
+use super::mark::{INCIDENT_TTL, LastReplies, Loss, Mark};
+use super::shared_marks::{MarkReport, SharedMark};
+use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
 const POISON_INCIDENTS: u32 = 2;
 const MAX_SUSPECTS: usize = 4_096;
-/// The maximum number of poison requests sent to another instance at a time.
-const MAX_POISON_PER_MESSAGE: usize = 64;
-/// How long an incident counts.
-pub(super) const INCIDENT_TTL: Span = Span::from_secs(600);
+/// This part of the marks is evicted at a time, so that eviction is rare.
+const EVICTED_DIVISOR: usize = 8;
+/// The maximum number of marks sent to another instance at a time.
+pub(super) const MAX_MARKS_PER_MESSAGE: usize = 64;
+const MAX_UPSTREAMS: usize = 16_384;
+/// How long after its last incident a poison request may be tried again: long enough for a
+/// disturbance of a few upstreams to pass.
+const FIRST_TRIAL_AFTER: Span = Span::from_secs(10);
+/// The same after each failed trial, so that a request which crashes whatever runs it crashes a
+/// few upstreams only before its incidents expire.
+const LATER_TRIAL_AFTER: Span = Span::from_secs(120);
+/// How long an instance has the right to make a trial before another one gets it, and how long it
+/// waits for the outcome.
+const TRIAL_TURN: Span = Span::from_secs(5);
+/// How often the instances that still refuse a request are told of its reply.
+const RESHARE_INTERVAL: Span = Span::from_secs(5);
 
 /// The suspect and poison requests.
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
-    marks: IndexMap<Fingerprint, Mark>,
+    pub(super) marks: IndexMap<Fingerprint, Mark>,
+    last_replies: LastReplies,
     /// The requests whose marks have changed and not yet been shared with other instances.
-    unshared: IndexSet<Fingerprint>,
-    /// The requests whose marks other instances already have.
-    shared: IndexSet<Fingerprint>,
+    pub(super) unshared: IndexSet<Fingerprint>,
+    /// The requests in the object that all instances share.
+    pub(super) in_object: IndexSet<Fingerprint>,
     wake: Option<Sender<()>>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Mark {
-    incidents: u32,
-    /// When this instance recorded the last incident.
-    recorded_at: Timestamp,
+/// A poison request that is refused until an instance tries it again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Quarantine {
+    /// No instance tries it before this time.
+    pub(crate) trials_from: Timestamp,
 }
 
-/// The mark of one request as instances exchange it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct SharedMark {
-    pub(crate) request: Fingerprint,
-    pub(crate) incidents: u32,
+impl Quarantine {
+    /// Returns which turn of trials it is, by which instances agree on whose it is; none if it is
+    /// too early for a trial.
+    pub(crate) fn turn(self, now: Timestamp) -> Option<u64> {
+        let is_open = now >= self.trials_from;
+        is_open.then(|| now.since(self.trials_from).0 / TRIAL_TURN.0)
+    }
+
+    /// Returns when the request may be answered, if its next trial gets a reply.
+    pub(crate) fn retry_after(self, now: Timestamp) -> Span {
+        self.trials_from.since(now).max(TRIAL_TURN)
+    }
 }
 
 impl Suspects {
-    /// Records that a connection was lost while a leg of the request, sent at `sent`, was in
-    /// flight on it without a reply. A leg sent before the last incident was recorded is
-    /// part of that incident.
-    pub fn crashed(&mut self, now: Timestamp, request: Fingerprint, sent: Timestamp) {
+    /// Records that the connection to an upstream was lost while a leg of the request, sent at
+    /// `sent`, was in flight on it without a reply.
+    pub fn crashed(
+        &mut self,
+        now: Timestamp,
+        request: Fingerprint,
+        sent: Timestamp,
+        upstream: &UpstreamName,
+    ) {
         self.make_room(now);
-        let mark = self.marks.entry(request).or_insert(Mark {
-            incidents: 0,
-            recorded_at: Timestamp(0),
-        });
-        if mark.incidents > 0 && sent < mark.recorded_at {
-            return;
-        }
-        mark.incidents += 1;
-        mark.recorded_at = now;
+        let mark = self.marks.entry(request).or_default();
+        let upstream = upstream.clone();
+        mark.add_loss(request, sent, Loss { upstream, at: now });
         self.mark_unshared(request);
     }
 
     /// Records that an upstream ran the request and replied, which clears its mark.
-    pub fn replied(&mut self, _now: Timestamp, request: Fingerprint) {
+    pub fn replied(&mut self, now: Timestamp, request: Fingerprint) {
+        let Some(mark) = self.marks.get_mut(&request) else {
+            return;
+        };
+        if mark.shared_at.is_none() {
+            // Other instances may know of it by the shared object at most.
+            self.marks.swap_remove(&request);
+            self.mark_unshared(request);
+        } else if mark.merge_reply(now) {
+            self.mark_unshared(request);
+        }
+    }
+
+    /// Records that an upstream replied to a leg of any request which was sent at `sent`: it has
+    /// not crashed since the losses before.
+    pub fn survived(&mut self, sent: Timestamp, upstream: &UpstreamName) {
         if self.marks.is_empty() {
+            self.last_replies.clear();
             return;
         }
-        if self.marks.swap_remove(&request).is_some() {
-            self.mark_unshared(request);
+        if let Some(last) = self.last_replies.get_mut(upstream) {
+            *last = sent.max(*last);
+            return;
+        }
+        if self.last_replies.len() >= MAX_UPSTREAMS {
+            self.last_replies.clear();
         }
+        self.last_replies.insert(upstream.clone(), sent);
     }
 
-    /// Whether the request must not be sent to any upstream.
+    /// Whether the request must not be sent to any upstream, but for a trial.
     #[must_use]
     pub fn is_poison(&self, now: Timestamp, request: Fingerprint) -> bool {
-        self.incidents(now, request) >= POISON_INCIDENTS
+        self.quarantine(now, request).is_some()
     }
 
     /// Whether the request must be tried on a single upstream first.
     #[must_use]
     pub fn is_suspect(&self, now: Timestamp, request: Fingerprint) -> bool {
-        self.incidents(now, request) > 0
+        self.counted(now, request).1 > 0
+    }
+
+    /// Returns the quarantine of a poison request.
+    pub(crate) fn quarantine(&self, now: Timestamp, request: Fingerprint) -> Option<Quarantine> {
+        let (last, count) = self.counted(now, request);
+        let pause = match count.checked_sub(POISON_INCIDENTS)? {
+            0 => FIRST_TRIAL_AFTER,
+            _ => LATER_TRIAL_AFTER,
+        };
+        Some(Quarantine {
+            trials_from: last + pause,
+        })
+    }
+
+    /// Begins a trial of a poison request, unless one is under way.
+    pub(crate) fn begin_trial(&mut self, now: Timestamp, request: Fingerprint) -> bool {
+        let mark = self.marks.get_mut(&request);
+        let Some(mark) = mark.filter(|mark| now >= mark.next_trial) else {
+            return false;
+        };
+        mark.next_trial = now + TRIAL_TURN;
+        true
     }
 
     /// Sets the channel that is notified when there are marks to share.
@@ -87,65 +153,63 @@
         self.wake = Some(wake);
     }
 
-    /// Merges the marks that all instances share. A mark that was shared before and is
-    /// missing now was cleared by a reply.
-    pub(crate) fn adopt(&mut self, now: Timestamp, marks: &[SharedMark]) {
-        let remote: IndexSet<Fingerprint> = marks.iter().map(|mark| mark.request).collect();
-        let cleared: Vec<Fingerprint> = self
-            .shared
-            .iter()
-            .filter(|request| !remote.contains(*request) && !self.unshared.contains(*request))
-            .copied()
-            .collect();
-        for request in cleared {
-            self.marks.swap_remove(&request);
-        }
-        for mark in marks {
-            self.merge(now, *mark);
-        }
-        self.shared = remote;
-    }
-
     /// Returns the poison requests, to be refused by other instances as well.
     pub(crate) fn poison_requests(&self, now: Timestamp) -> Vec<Fingerprint> {
         let requests = self.marks.keys().copied();
         requests
             .filter(|request| self.is_poison(now, *request))
-            .take(MAX_POISON_PER_MESSAGE)
+            .take(MAX_MARKS_PER_MESSAGE)
             .collect()
     }
 
-    /// Marks a request as poison that crashed upstreams of another instance. An existing
-    /// poison mark is not refreshed: it would never expire if instances kept sending it to
-    /// each other.
+    /// Marks a request as poison that another instance refuses, unless more is known of it here.
+    /// The other instance is told if this one had a reply since. An existing mark is not refreshed:
+    /// it would never expire if instances kept sending it to each other.
     pub(crate) fn mark_poison(&mut self, now: Timestamp, request: Fingerprint) {
-        if !self.is_poison(now, request) {
-            self.merge(
-                now,
-                SharedMark {
-                    request,
-                    incidents: POISON_INCIDENTS,
-                },
-            );
+        if let Some(mark) = self.marks.get(&request) {
+            let told = mark.shared_at.unwrap_or_default();
+            let is_stale = mark.replied_at.is_some() && !self.is_poison(now, request);
+            if is_stale && now.since(told) > RESHARE_INTERVAL {
+                self.mark_unshared(request);
+            }
+            return;
         }
+        self.make_room(now);
+        let mark = self.marks.entry(request).or_default();
+        mark.add_unexplained(now, POISON_INCIDENTS);
     }
 
-    /// Takes the changes that have not been shared yet: the current marks, and the requests
-    /// that were cleared.
-    pub(crate) fn take_unshared(&mut self) -> (Vec<SharedMark>, Vec<Fingerprint>) {
-        let mut marked = Vec::new();
-        let mut cleared = Vec::new();
-        for request in std::mem::take(&mut self.unshared) {
-            match self.marks.get(&request) {
-                Some(mark) => marked.push(SharedMark {
-                    request,
-                    incidents: mark.incidents,
-                }),
-                None if self.shared.contains(&request) => cleared.push(request),
-                None => {}
+    /// Returns the marks that have changed, for instances that have not heard of them.
+    pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<MarkReport> {
+        let rest = MAX_MARKS_PER_MESSAGE.min(self.unshared.len());
+        let requests: Vec<Fingerprint> = self.unshared.drain(..rest).collect();
+        let mut reports = Vec::new();
+        for request in requests {
+            let is_poison = self.is_poison(now, request);
+            let mark = self.marks.get_mut(&request);
+            if let Some(mark) = mark.filter(|mark| is_poison || mark.shared_at.is_some()) {
+                mark.shared_at = Some(now);
+                reports.extend(MarkReport::new(now, request, mark));
+            }
+        }
+        reports
+    }
+
+    /// Merges marks that another instance reports, and shares those that are new here.
+    pub(crate) fn merge_reports(&mut self, now: Timestamp, reports: Vec<MarkReport>) {
+        for report in reports {
+            self.make_room(now);
+            let request = report.request;
+            let mark = self.marks.entry(request).or_default();
+            let is_cleared = report
+                .replied_at(now)
+                .is_some_and(|at| mark.merge_reply(at));
+            let is_incident_new = mark.merge(report.incidents(now));
+            mark.shared_at.get_or_insert(now);
+            if is_cleared || is_incident_new {
+                self.mark_unshared(request);
             }
         }
-        (marked, cleared)
     }
 
     /// Puts back changes that could not be shared.
@@ -158,34 +222,28 @@
         if !self.unshared.is_empty()
             && let Some(wake) = &self.wake
         {
+            // If the channel is full, the listener has been notified already.
             wake.try_send(()).ok();
         }
     }
 
-    fn merge(&mut self, now: Timestamp, shared: SharedMark) {
+    /// Merges the number of incidents that another instance recorded.
+    pub(super) fn merge_count(&mut self, now: Timestamp, shared: SharedMark) {
         self.make_room(now);
-        let mark = self.marks.entry(shared.request).or_insert(Mark {
-            incidents: 0,
-            recorded_at: now,
-        });
-        if shared.incidents > mark.incidents {
-            mark.incidents = shared.incidents;
-            mark.recorded_at = now;
-        }
+        let mark = self.marks.entry(shared.request).or_default();
+        mark.add_unexplained(now, shared.incidents);
     }
 
-    fn incidents(&self, now: Timestamp, request: Fingerprint) -> u32 {
+    pub(super) fn counted(&self, now: Timestamp, request: Fingerprint) -> (Timestamp, u32) {
         let mark = self.marks.get(&request);
-        mark.filter(|mark| now.since(mark.recorded_at) < INCIDENT_TTL)
-            .map_or(0, |mark| mark.incidents)
+        mark.map_or((Timestamp(0), 0), |mark| {
+            mark.counted(now, &self.last_replies)
+        })
     }
 
     fn mark_unshared(&mut self, request: Fingerprint) {
         self.unshared.insert(request);
-        if let Some(wake) = &self.wake {
-            // If the channel is full, the listener has been notified already.
-            wake.try_send(()).ok();
-        }
+        self.wake_if_unshared();
     }
 
     /// Evicts expired marks, and then the oldest ones, if there is no room for one more.
@@ -194,15 +252,14 @@
             return;
         }
         self.marks
-            .retain(|_, mark| now.since(mark.recorded_at) < INCIDENT_TTL);
+            .retain(|_, mark| now.since(mark.changed_at()) < INCIDENT_TTL);
         self.unshared
             .retain(|request| self.marks.contains_key(request));
-        while self.marks.len() >= MAX_SUSPECTS {
-            let oldest = self.marks.iter().min_by_key(|(_, mark)| mark.recorded_at);
-            let Some(oldest) = oldest.map(|(request, _)| *request) else {
-                return;
-            };
-            self.marks.swap_remove(&oldest);
+        if self.marks.len() >= MAX_SUSPECTS {
+            let mut times: Vec<Timestamp> = self.marks.values().map(Mark::changed_at).collect();
+            times.sort_unstable();
+            let oldest_kept = times[MAX_SUSPECTS / EVICTED_DIVISOR];
+            self.marks.retain(|_, mark| mark.changed_at() > oldest_kept);
         }
     }
 }
--- a/src/process/suspects_tests.rs
+++ b/src/process/suspects_tests.rs
@@ -2,11 +2,15 @@
 
 use rstest::rstest;
 
-use super::{INCIDENT_TTL, MAX_SUSPECTS, SharedMark, Suspects};
-use crate::types::{Fingerprint, Span, Timestamp};
+use super::{INCIDENT_TTL, MAX_SUSPECTS, SharedMark, Suspects, TRIAL_TURN};
+use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
 const REQUEST: Fingerprint = Fingerprint(7);
 
+fn upstream(name: &str) -> UpstreamName {
+    name.parse().unwrap()
+}
+
 fn at(millis: u64) -> Timestamp {
     Timestamp(0) + Span::from_millis(millis)
 }
@@ -85,7 +89,7 @@
     for event in case.events {
         match *event {
             Event::Lost { sent_ms, now_ms } => {
-                suspects.crashed(at(now_ms), REQUEST, at(sent_ms));
+                suspects.crashed(at(now_ms), REQUEST, at(sent_ms), &upstream("a"));
             }
             Event::Replied { now_ms } => suspects.replied(at(now_ms), REQUEST),
         }
@@ -97,6 +101,149 @@
     assert_eq!(state, (case.suspect, case.poison));
 }
 
+/// What happens to a request and its upstreams at one instance.
+enum Step {
+    /// A leg of the request to this upstream, sent at `sent_ms`, is lost at `now_ms`.
+    Lost {
+        upstream: &'static str,
+        sent_ms: u64,
+        now_ms: u64,
+    },
+    /// The upstream replies to a leg of any request that was sent at `sent_ms`.
+    Survived {
+        upstream: &'static str,
+        sent_ms: u64,
+    },
+}
+
+struct Evidence {
+    steps: &'static [Step],
+    suspect: bool,
+    poison: bool,
+}
+
+const LOST_BY_TWO: [Step; 2] = [
+    Step::Lost {
+        upstream: "a",
+        sent_ms: 1,
+        now_ms: 5,
+    },
+    Step::Lost {
+        upstream: "b",
+        sent_ms: 6,
+        now_ms: 9,
+    },
+];
+
+/// Guards against requests that are refused because upstreams in trouble closed connections
+/// (docs/incidents/page-refused-after-lost-connections.md).
+#[rstest]
+#[case::none_is_known_to_live(Evidence { steps: &[], suspect: true, poison: true })]
+#[case::one_lives(Evidence {
+    steps: &[Step::Survived { upstream: "a", sent_ms: 6 }], suspect: true, poison: false,
+})]
+#[case::both_live(Evidence {
+    steps: &[
+        Step::Survived { upstream: "a", sent_ms: 6 },
+        Step::Survived { upstream: "b", sent_ms: 10 },
+    ],
+    suspect: false, poison: false,
+})]
+#[case::replies_to_legs_from_before_the_loss(Evidence {
+    steps: &[
+        Step::Survived { upstream: "a", sent_ms: 5 },
+        Step::Survived { upstream: "b", sent_ms: 8 },
+    ],
+    suspect: true, poison: true,
+})]
+#[case::another_one_lives(Evidence {
+    steps: &[Step::Survived { upstream: "c", sent_ms: 20 }], suspect: true, poison: true,
+})]
+#[case::one_lived_and_was_lost_again(Evidence {
+    steps: &[
+        Step::Survived { upstream: "a", sent_ms: 10 },
+        Step::Lost { upstream: "a", sent_ms: 11, now_ms: 12 },
+    ],
+    suspect: true, poison: true,
+})]
+#[case::one_of_a_fan_out_lives(Evidence {
+    steps: &[
+        Step::Lost { upstream: "c", sent_ms: 6, now_ms: 9 },
+        Step::Survived { upstream: "c", sent_ms: 10 },
+    ],
+    suspect: true, poison: true,
+})]
+fn losses_do_not_count_once_their_upstreams_reply(#[case] case: Evidence) {
+    let mut suspects = Suspects::default();
+    for step in LOST_BY_TWO.iter().chain(case.steps) {
+        match *step {
+            Step::Lost {
+                upstream: name,
+                sent_ms,
+                now_ms,
+            } => suspects.crashed(at(now_ms), REQUEST, at(sent_ms), &upstream(name)),
+            Step::Survived {
+                upstream: name,
+                sent_ms,
+            } => suspects.survived(at(sent_ms), &upstream(name)),
+        }
+    }
+    let state = (
+        suspects.is_suspect(at(20), REQUEST),
+        suspects.is_poison(at(20), REQUEST),
+    );
+    assert_eq!(state, (case.suspect, case.poison));
+}
+
+/// Guards against a request that is refused for as long as its incidents count, since no reply can
+/// clear what is never sent.
+#[test]
+fn a_poison_request_is_tried_again_ever_more_rarely() {
+    let mut suspects = Suspects::default();
+    let mut now = at(0);
+    let mut trials = Vec::new();
+    for second in 0..600 {
+        let quarantine = suspects.quarantine(now, REQUEST);
+        let is_open = quarantine.is_none_or(|quarantine| quarantine.turn(now).is_some());
+        let is_sent = is_open && (quarantine.is_none() || suspects.begin_trial(now, REQUEST));
+        if is_sent {
+            trials.push(second);
+            let lost_at = now + Span::from_millis(5);
+            suspects.crashed(lost_at, REQUEST, now, &upstream(&format!("r{second}")));
+        }
+        now = now + Span::from_secs(1);
+    }
+    assert_eq!(trials, vec![0, 1, 12, 133, 254, 375, 496]);
+}
+
+#[test]
+fn a_trial_is_not_begun_twice_at_a_time() {
+    let mut suspects = Suspects::default();
+    suspects.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    suspects.crashed(at(9), REQUEST, at(6), &upstream("b"));
+    let open = suspects.quarantine(at(9), REQUEST).unwrap().trials_from;
+    assert!(suspects.begin_trial(open, REQUEST));
+    assert!(!suspects.begin_trial(open + Span::from_millis(20), REQUEST));
+    assert!(
+        suspects.begin_trial(open + TRIAL_TURN, REQUEST),
+        "no outcome came"
+    );
+}
+
+/// Passes on what changed, as it arrives `delay` later at an instance with another clock.
+fn report(from: &mut Suspects, now: Timestamp, to: &mut Suspects, to_now: Timestamp) {
+    to.merge_reports(to_now, from.take_reports(now));
+}
+
+#[test]
+fn an_instance_that_hears_of_both_incidents_at_once_counts_both() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    one.crashed(at(9), REQUEST, at(6), &upstream("b"));
+    report(&mut one, at(100), &mut two, at(110));
+    assert!(two.is_poison(at(110), REQUEST));
+}
+
 fn share_marks(from: &mut Suspects, to: &mut Suspects, now: Timestamp) {
     let (marked, _) = from.take_unshared();
     from.adopt(now, &marked);
@@ -106,10 +253,10 @@
 #[test]
 fn an_incident_elsewhere_counts_once_and_a_second_one_makes_poison() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
-    one.crashed(at(5), REQUEST, at(1));
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
     share_marks(&mut one, &mut two, at(6));
     assert!(two.is_suspect(at(7), REQUEST) && !two.is_poison(at(7), REQUEST));
-    two.crashed(at(9), REQUEST, at(8));
+    two.crashed(at(9), REQUEST, at(8), &upstream("b"));
     share_marks(&mut two, &mut one, at(10));
     assert!(one.is_poison(at(11), REQUEST) && two.is_poison(at(11), REQUEST));
 }
@@ -117,8 +264,8 @@
 #[test]
 fn one_incident_seen_by_two_instances_is_one() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
-    one.crashed(at(5), REQUEST, at(1));
-    two.crashed(at(5), REQUEST, at(2));
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    two.crashed(at(5), REQUEST, at(2), &upstream("b"));
     share_marks(&mut one, &mut two, at(6));
     share_marks(&mut two, &mut one, at(7));
     assert!(!one.is_poison(at(8), REQUEST) && !two.is_poison(at(8), REQUEST));
@@ -127,7 +274,7 @@
 #[test]
 fn a_reply_clears_the_request_everywhere() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
-    one.crashed(at(5), REQUEST, at(1));
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
     share_marks(&mut one, &mut two, at(6));
     two.replied(at(7), REQUEST);
     let (marked, cleared) = two.take_unshared();
@@ -140,7 +287,12 @@
 fn the_table_is_bounded_and_keeps_the_latest() {
     let mut suspects = Suspects::default();
     for number in 0..3 * MAX_SUSPECTS as u64 {
-        suspects.crashed(at(number + 1), Fingerprint(number), at(number));
+        suspects.crashed(
+            at(number + 1),
+            Fingerprint(number),
+            at(number),
+            &upstream("a"),
+        );
     }
     assert!(suspects.marks.len() <= MAX_SUSPECTS);
     assert!(suspects.unshared.len() <= 2 * MAX_SUSPECTS);
--- a/src/request/extra.rs
+++ b/src/request/extra.rs
@@ -103,7 +103,9 @@
     pub(super) fn on_crash(&mut self, cx: &mut Context<'_>, leg: Leg) {
         let upstream = &self.snapshot.shards[leg.shard_at].replicas[leg.replica_at];
         if self.crashes.on_crash(&upstream.name) {
-            cx.suspects.crashed(cx.now, self.fingerprint, leg.sent);
+            let request = self.fingerprint;
+            cx.suspects
+                .crashed(cx.now, request, leg.sent, &upstream.name);
         }
     }
 
@@ -120,7 +122,8 @@
     /// quarantined leg if its shard then still has an untried replica, or if it is the
     /// query's first leg. Abandons shards that may not send one.
     pub(super) fn probe_quarantined(&mut self, cx: &mut Context<'_>, actions: &mut Vec<Action>) {
-        if cx.suspects.is_poison(cx.now, self.fingerprint) {
+        let is_open_trial = self.options.is_trial && !self.may_have_run();
+        if !is_open_trial && cx.suspects.is_poison(cx.now, self.fingerprint) {
             self.crashes.mark_poison();
         }
         for shard_at in std::mem::take(&mut self.quarantined) {
--- a/src/request/options.rs
+++ b/src/request/options.rs
@@ -26,6 +26,8 @@
     pub soft_deadline: Option<Timestamp>,
     /// Whether an error reply from an upstream is returned if no part arrives.
     pub returns_upstream_errors: bool,
+    /// Whether one leg may be sent although the request is in quarantine.
+    pub is_trial: bool,
 }
 
 impl Default for QueryOptions {
@@ -36,6 +38,7 @@
             max_legs: MAX_LEGS,
             soft_deadline: None,
             returns_upstream_errors: false,
+            is_trial: false,
         }
     }
 }
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -83,6 +83,16 @@
         Self(hasher.finish())
     }
 
+    /// Returns the fingerprint of an instance for one turn of trials of this request, which orders
+    /// instances differently in each turn.
+    pub(crate) fn of_trial_turn(self, turn: u64, name: &InstanceName) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write_u64(self.0);
+        hasher.write_u64(turn);
+        hasher.write(name.as_str().as_bytes());
+        Self(hasher.finish())
+    }
+
     /// Returns the fingerprint of an HTTP request, regardless of its sender and its id.
     #[must_use]
     pub fn of_request(method: &str, target: &str, body: &[u8]) -> Self {
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -91,14 +91,25 @@
     front: SocketAddr,
     kind: &str,
     id: &str,
+) -> std::io::Result<Message> {
+    send_path(connection, front, &format!("{kind}{id}"), id).await
+}
+
+/// Like [`send_request`], for this path.
+pub(crate) async fn send_path(
+    connection: &mut Option<(TcpStream, Vec<u8>)>,
+    front: SocketAddr,
+    path: &str,
+    id: &str,
 ) -> std::io::Result<Message> {
     if connection.is_none() {
         *connection = Some((TcpStream::connect(front).await?, Vec::new()));
     }
     let (stream, buf) = connection.as_mut().expect("just set");
-    let method = if kind == "/order/" { "POST" } else { "GET" };
+    let is_order = path.starts_with("/order/");
+    let method = if is_order { "POST" } else { "GET" };
     let text = format!(
-        "{method} {kind}{id} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
+        "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n"
     );
     stream.write_all(text.as_bytes()).await?;
     let read = http::read(stream, buf).await?;
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -1,6 +1,7 @@
 //! A simulated replica that runs requests, records each run and has injectable faults.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::io::WriteExt;
@@ -28,6 +29,9 @@
 /// How long a replica that turns requests away wants none.
 pub(crate) const PAUSE: Duration = Duration::from_millis(1_500);
 
+/// Where the path of a request that crashes replicas ends.
+pub(crate) const CRASHING_PATH: &str = "crash";
+
 /// How a replica handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum ReplicaMode {
@@ -45,6 +49,12 @@
     CopiesRefusals,
     /// Runs requests and closes the connection instead of answering.
     DropsResponses,
+    /// Runs requests, and closes three of five connections instead of answering.
+    #[allow(dead_code, reason = "only tests/crashing_requests.rs uses it")]
+    DropsMostResponses,
+    /// Crashes when it runs a request for [`CRASHING_PATH`], and serves all others.
+    #[allow(dead_code, reason = "only tests/crashing_requests.rs uses it")]
+    Crashes,
     /// Sends every answer twice.
     DuplicatesResponses,
     /// Sends half of each answer and closes the connection.
@@ -87,6 +97,9 @@
     pub(crate) target: String,
 }
 
+/// The open connections by number.
+type Conns = Arc<Mutex<IndexMap<u64, TcpStream>>>;
+
 type Arrivals = Arc<Mutex<Vec<Instant>>>;
 
 /// The runs of all replicas.
@@ -103,8 +116,10 @@
     /// When each request arrived, whether it ran or not.
     #[allow(dead_code, reason = "only tests/upstream_signals.rs reads it")]
     pub(crate) arrivals: Arrivals,
-    /// The open connections by number.
-    conns: Arc<Mutex<IndexMap<u64, TcpStream>>>,
+    conns: Conns,
+    /// Whether a request has crashed the replica.
+    #[allow(dead_code, reason = "only tests/crashing_requests.rs reads it")]
+    pub(crate) is_down: Arc<AtomicBool>,
     accept_task: Option<JoinHandle<()>>,
 }
 
@@ -114,6 +129,8 @@
     service: String,
     mode: Arc<Mutex<ReplicaMode>>,
     arrivals: Arrivals,
+    conns: Conns,
+    is_down: Arc<AtomicBool>,
     runs: Runs,
 }
 
@@ -122,13 +139,16 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let addr = listener.local_addr().expect("a bound address");
         let mode = Arc::new(Mutex::new(ReplicaMode::default()));
-        let conns = Arc::new(Mutex::new(IndexMap::new()));
+        let conns = Conns::default();
+        let is_down = Arc::new(AtomicBool::new(false));
         let arrivals = Arrivals::default();
         let server = ReplicaServer {
             id: id.to_owned(),
             service: service.to_owned(),
             mode: Arc::clone(&mode),
             arrivals: Arc::clone(&arrivals),
+            conns: Arc::clone(&conns),
+            is_down: Arc::clone(&is_down),
             runs: Arc::clone(runs),
         };
         let open = Arc::clone(&conns);
@@ -137,6 +157,9 @@
                 let Ok((stream, _)) = listener.accept().await else {
                     return;
                 };
+                if server.is_down.load(Ordering::SeqCst) {
+                    continue;
+                }
                 open.lock().insert(number, stream.clone());
                 let (server, open) = (server.clone(), Arc::clone(&open));
                 spawn(async move {
@@ -153,6 +176,7 @@
             mode,
             arrivals,
             conns,
+            is_down,
             accept_task: Some(accept_task),
         }
     }
@@ -175,10 +199,14 @@
         if let Some(accept_task) = self.accept_task.take() {
             accept_task.cancel().await;
         }
-        for (_, conn) in self.conns.lock().drain(..) {
-            // Shutting down fails if the connection is already closed.
-            conn.shutdown(Shutdown::Both).ok();
-        }
+        close_all(&self.conns);
+    }
+}
+
+fn close_all(conns: &Conns) {
+    for (_, conn) in conns.lock().drain(..) {
+        // Shutting down fails if the connection is already closed.
+        conn.shutdown(Shutdown::Both).ok();
     }
 }
 
@@ -208,8 +236,15 @@
                 _ => 3,
             }))
             .await;
+            let number = self.arrivals.lock().len();
             let sent = match mode {
                 ReplicaMode::DropsResponses => return,
+                ReplicaMode::DropsMostResponses if number * 3 % 5 < 3 => return,
+                ReplicaMode::Crashes if req.line.ends_with(CRASHING_PATH) => {
+                    self.is_down.store(true, Ordering::SeqCst);
+                    close_all(&self.conns);
+                    return;
+                }
                 ReplicaMode::Truncates => {
                     // A failed write needs no handling: the connection is closed anyway.
                     stream.write_all(&answer[..answer.len() / 2]).await.ok();
