Report first incidents of requests to other instances

Cause: an instance condemned a request after two incidents of its own, and one query leaves one incident only, since its legs are in flight together. Instances told each other of condemned requests, not of first incidents, so each began anew. Orders, and requests for a service of two replicas, crash one replica at each instance by the same way.

Fix: every incident that no reply has cleared after 0.1 s is reported. The next instance then sends a single leg, whose loss condemns the request everywhere.

Ruled out: a report that comes too late; 4.5 s or more lie between two comings.

An innocent request pays a round trip at the other instances until it has a reply there, or until the upstreams that it lost show that they live.

--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -185,9 +185,7 @@
         let requests: Vec<Fingerprint> = self.unshared.drain(..rest).collect();
         let mut reports = Vec::new();
         for request in requests {
-            let is_poison = self.is_poison(now, request);
-            let mark = self.marks.get_mut(&request);
-            if let Some(mark) = mark.filter(|mark| is_poison || mark.shared_at.is_some()) {
+            if let Some(mark) = self.marks.get_mut(&request) {
                 mark.shared_at = Some(now);
                 reports.extend(MarkReport::new(now, request, mark));
             }
--- a/src/process/suspects_tests.rs
+++ b/src/process/suspects_tests.rs
@@ -235,6 +235,33 @@
     to.merge_reports(to_now, from.take_reports(now));
 }
 
+/// Guards against a poison request that is unknown to all instances but one
+/// (docs/incidents/request-crashes-replicas-at-each-instance.md).
+#[test]
+fn an_incident_is_reported_to_other_instances_and_clears_there_by_a_reply() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    let later = |millis: u64| at(millis) + Span::from_secs(1_000);
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    report(&mut one, at(100), &mut two, later(110));
+    assert!(two.is_suspect(later(110), REQUEST) && !two.is_poison(later(110), REQUEST));
+    two.crashed(later(2_000), REQUEST, later(1_990), &upstream("b"));
+    report(&mut two, later(2_100), &mut one, at(2_110));
+    report(&mut one, at(2_110), &mut two, later(2_120));
+    assert!(one.is_poison(at(2_120), REQUEST) && two.is_poison(later(2_120), REQUEST));
+    let incidents = |suspects: &Suspects, now| suspects.counted(now, REQUEST).1;
+    assert_eq!(
+        (incidents(&one, at(2_120)), incidents(&two, later(2_120))),
+        (2, 2)
+    );
+
+    one.replied(at(13_000), REQUEST);
+    report(&mut one, at(13_100), &mut two, later(13_110));
+    assert!(!one.is_suspect(at(13_110), REQUEST) && !two.is_suspect(later(13_110), REQUEST));
+    // An instance that has not heard of the reply still says that the request is poison.
+    one.mark_poison(at(13_200), REQUEST);
+    assert!(!one.is_suspect(at(13_200), REQUEST));
+}
+
 #[test]
 fn an_instance_that_hears_of_both_incidents_at_once_counts_both() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
@@ -244,6 +271,31 @@
     assert!(two.is_poison(at(110), REQUEST));
 }
 
+/// A request that is in flight at two instances when it crashes upstreams of both.
+#[test]
+fn incidents_of_two_instances_at_the_same_time_are_one() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    two.crashed(at(30), REQUEST, at(2), &upstream("b"));
+    let from_one = one.take_reports(at(100));
+    report(&mut two, at(100), &mut one, at(110));
+    two.merge_reports(at(110), from_one);
+    assert!(!one.is_poison(at(120), REQUEST) && !two.is_poison(at(120), REQUEST));
+}
+
+#[test]
+fn an_upstream_that_lives_excuses_an_incident_that_another_instance_reported() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    report(&mut one, at(100), &mut two, at(110));
+    two.survived(at(120), &upstream("a"));
+    assert!(!two.is_suspect(at(130), REQUEST));
+    // What is reported again is not believed again.
+    one.mark_unshared(REQUEST);
+    report(&mut one, at(400), &mut two, at(410));
+    assert!(!two.is_suspect(at(410), REQUEST));
+}
+
 fn share_marks(from: &mut Suspects, to: &mut Suspects, now: Timestamp) {
     let (marked, _) = from.take_unshared();
     from.adopt(now, &marked);
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -26,15 +26,110 @@
 use caller::Observations;
 use deployment::{Deployment, Sizes};
 use futures::future::join_all;
-use replica::ReplicaMode;
+use replica::{CRASHING_PATH, ReplicaMode};
 use rstest::rstest;
 
 /// More than an instance may have to be told by others: each has to hear it.
 const INSTANCES: usize = 6;
 const STARTS_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
+/// How long a replica that crashed stays away.
+const DOWN: Duration = Duration::from_millis(1_500);
+/// From one coming of a request to the next, so that crashed replicas are back.
+const COMES_AGAIN: Duration = Duration::from_millis(2_600);
 /// How long after a disturbance the rules hold again.
 const STABLE_WINDOW: Duration = Duration::from_secs(5);
+/// How many of the late comings of a request that crashes replicas may reach any.
+const MAX_LATE_RETRIES: usize = 3;
+
+/// Guards against a request that crashes replicas anew at each instance that it is sent to.
+#[rstest]
+#[case::gathered("/g/", 1)]
+#[case::single("/one/", 1)]
+#[case::order("/order/", 1)]
+#[case::gathered_at_two_instances_at_once("/g/", 2)]
+#[case::single_at_two_instances_at_once("/one/", 2)]
+fn a_request_that_crashes_replicas_reaches_them_in_few_retries(
+    #[case] kind: &'static str,
+    #[case] at_once: usize,
+) {
+    block_on(async {
+        let mut deployment = start(&format!("crash{}{at_once}", kind.len())).await;
+        for proxied in &deployment.replicas {
+            proxied.replica.set_mode(ReplicaMode::Crashes);
+        }
+        let mut comings = Comings::new(kind, at_once);
+        while comings.crashes < 3 && comings.count < INSTANCES {
+            comings.send(&mut deployment, COMES_AGAIN).await;
+        }
+        comings.send_nothing(&mut deployment, STABLE_WINDOW).await;
+        let first_late = comings.count;
+        for _ in 0..INSTANCES {
+            comings.send(&mut deployment, COMES_AGAIN).await;
+        }
+        let runs = deployment.runs.lock().clone();
+        let late = comings.ids(first_late..comings.count);
+        let reached: Vec<&String> = late
+            .iter()
+            .filter(|id| runs.iter().any(|run| run.request == **id))
+            .collect();
+        assert!(reached.len() <= MAX_LATE_RETRIES, "{reached:?}");
+        deployment.close().await;
+    });
+}
+
+/// The comings of a request that crashes replicas.
+struct Comings {
+    kind: &'static str,
+    at_once: usize,
+    count: usize,
+    crashes: usize,
+}
+
+impl Comings {
+    fn new(kind: &'static str, at_once: usize) -> Self {
+        Self {
+            kind,
+            at_once,
+            count: 0,
+            crashes: 0,
+        }
+    }
+
+    /// Sends the request to the next instances at once, and lets replicas come back.
+    async fn send(&mut self, deployment: &mut Deployment, pause: Duration) {
+        let path = format!("{}{CRASHING_PATH}", self.kind);
+        let ids = self.ids(self.count..self.count + 1);
+        let sent = ids.iter().enumerate().map(|(at, id)| {
+            let front = deployment.instances[(self.count + at) % INSTANCES].front;
+            status(front, &path, id)
+        });
+        join_all(sent).await;
+        self.count += 1;
+        self.send_nothing(deployment, pause).await;
+    }
+
+    async fn send_nothing(&mut self, deployment: &mut Deployment, pause: Duration) {
+        let until = Instant::now() + pause;
+        sleep(DOWN).await;
+        for at in 0..deployment.replicas.len() {
+            let is_down = &deployment.replicas[at].replica.is_down;
+            if is_down.load(std::sync::atomic::Ordering::SeqCst) {
+                self.crashes += 1;
+                deployment.crash(at).await;
+                deployment.replicas[at]
+                    .replica
+                    .set_mode(ReplicaMode::Crashes);
+            }
+        }
+        sleep(until.saturating_duration_since(Instant::now())).await;
+    }
+
+    fn ids(&self, comings: std::ops::Range<usize>) -> Vec<String> {
+        let ids = |coming| (0..self.at_once).map(move |at| format!("again{coming}x{at}"));
+        comings.flat_map(ids).collect()
+    }
+}
 
 /// Guards against a page that stays refused because replicas closed connections while they ran it,
 /// although they closed those of all requests alike.
