Reject responses with a status that HTTP does not know

What callers saw: a replica's response with the status 600 or 999 was passed on as it was. One with the status 000 or 099 was not (502), but if it also said that the request had not run, that was believed: the caller got 503, "not run", after five runs of the request, and so did the caller of an order. An interim response that says so was believed as well.

Cause: the reader of responses took any three digits for a status, and the check for answers came after the one for refusals.

Fix: a head with a status outside 100 to 599 is malformed for every reader of HTTP/1.1 responses, so the leg may have run and its connection is closed; what an interim response says of the outcome does not count. 600 to 999 are no answers in HTTP (RFC 9110, section 15), which goes before passing a replica's status on unchanged.

The store's client and the commands rejected such replies before; their new cases passed before as well and stay.

--- a/src/connection/http1.rs
+++ b/src/connection/http1.rs
@@ -5,6 +5,7 @@
 //! decides whether a reply may be used; see `docs/DESIGN.md`, "On the platform".
 
 use std::io;
+use std::ops::Range;
 use std::time::Duration;
 
 use async_std::net::TcpStream;
@@ -21,6 +22,8 @@
 const MAX_READ_BYTES: usize = 64 << 10;
 /// A head of a few kilobytes may have a few hundred short fields.
 const MAX_HEADERS: usize = 256;
+/// The statuses of HTTP (RFC 9110, section 15). Bytes with any other are no response.
+const VALID_STATUSES: Range<u16> = 100..600;
 const MAX_RESPONSE_HEAD_BYTES: usize = 16 << 10;
 
 /// Why a message could not be read.
@@ -150,8 +153,9 @@
             let httparse::Status::Complete(len) = res.parse(buf).map_err(head_error)? else {
                 return Ok(None);
             };
+            let status = res.code.filter(|status| VALID_STATUSES.contains(status));
             let head = ResponseHead {
-                status: res.code.unwrap_or_default(),
+                status: status.ok_or(HttpError::Malformed("invalid status"))?,
                 is_http10: res.version == Some(0),
                 fields: Fields::from(&*res.headers),
             };
--- a/src/connection/http1_head.rs
+++ b/src/connection/http1_head.rs
@@ -129,6 +129,11 @@
         Ok(self.fields.framing()?.unwrap_or(Framing::UntilClose))
     }
 
+    /// Whether another response to the same request follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        self.status < 200
+    }
+
     /// Whether the connection is closed after this response.
     pub(crate) fn closes(&self) -> bool {
         self.is_http10 || self.fields.has_token("connection", "close")
--- a/src/connection/http1_tests.rs
+++ b/src/connection/http1_tests.rs
@@ -83,6 +83,18 @@
     sent: b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
     bodies: &[b"ok", b""], end: "Closed",
 })]
+#[case::status_zero(Case {
+    sent: b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n", bodies: &[], end: "Malformed",
+})]
+#[case::status_below_the_range(Case {
+    sent: b"HTTP/1.1 099 X\r\nContent-Length: 0\r\n\r\n", bodies: &[], end: "Malformed",
+})]
+#[case::status_above_the_range(Case {
+    sent: b"HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", bodies: &[], end: "Malformed",
+})]
+#[case::largest_status(Case {
+    sent: b"HTTP/1.1 599 X\r\nContent-Length: 0\r\n\r\n", bodies: &[b""], end: "Closed",
+})]
 #[case::not_http(Case { sent: b"\x00\x01\x02\r\n\r\n", bodies: &[], end: "Malformed" })]
 #[case::nothing(Case { sent: b"", bodies: &[], end: "Closed" })]
 fn responses_are_read_whole_or_rejected(#[case] case: Case) {
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -40,7 +40,7 @@
 /// of itself holds. An address may have been assigned to another replica, and a late response
 /// may belong to an earlier request.
 pub(super) fn is_from_upstream(head: &ResponseHead, id: &str) -> bool {
-    is_echoed(head, id) && head.status != MISDIRECTED
+    is_echoed(head, id) && !head.is_interim() && head.status != MISDIRECTED
 }
 
 /// Returns the id of the request that the response names.
@@ -63,7 +63,8 @@
     history: ConnHistory,
 ) -> Result<ReplyHead, LegFailure> {
     let fields = &head.fields;
-    if !is_echoed(head, id) {
+    // What an interim response says of the outcome is not final.
+    if !is_echoed(head, id) || head.is_interim() {
         return Err(LegFailure::Mangled);
     }
     if head.status == MISDIRECTED {
@@ -75,7 +76,7 @@
     let proof = fields.get(PROOF).map(str::to_owned);
     let is_unencoded = fields.all(ENCODING).next().is_none();
     let is_own = history == ConnHistory::New || fields.has(REQUEST_ID);
-    if proof.is_none() || !is_own || !is_unencoded || head.status < 200 {
+    if proof.is_none() || !is_own || !is_unencoded {
         return Err(LegFailure::Mangled);
     }
     let forwarded = fields.iter().filter(|(name, _)| !is_hop_by_hop(name));
--- a/src/platform/reply_tests.rs
+++ b/src/platform/reply_tests.rs
@@ -28,13 +28,14 @@
 #[case::busy_but_may_have_run(Case { status: 503, fields: &[PROOF_FIELD], wanted: Ok(503) })]
 #[case::address_of_another_replica(Case { status: 421, fields: &[("Instance-Id", "i-2")], wanted: Err(LegFailure::Draining) })]
 #[case::interim(Case { status: 100, fields: &[PROOF_FIELD], wanted: Err(LegFailure::Mangled) })]
+#[case::interim_that_says_not_run(Case { status: 100, fields: &[("Not-Executed", "1")], wanted: Err(LegFailure::Mangled) })]
 fn responses_are_validated(#[case] case: Case) {
     let head = response_head(case.status, case.fields);
     let validated = validate(&head, "9c", ConnHistory::New).map(|head| head.status);
     assert_eq!(validated, case.wanted);
     if let Err(failure) = validated {
-        let is_stated_not_run =
-            case.status == 421 || case.fields.iter().any(|(name, _)| *name == "Not-Executed");
+        let has_field = case.fields.iter().any(|(name, _)| *name == "Not-Executed");
+        let is_stated_not_run = case.status == 421 || (case.status >= 200 && has_field);
         assert_eq!(failure.ran() == Ran::NotRun, is_stated_not_run);
     }
 }
--- a/tests/commands.rs
+++ b/tests/commands.rs
@@ -2,6 +2,7 @@
 
 mod standin;
 
+use async_std::io::{ReadExt, WriteExt};
 use serde_json::Value;
 use standin::instance::{Instance, OPERATOR_KEYS};
 use standin::operator::{run, token};
@@ -250,6 +251,24 @@
     drop(accepting);
 }
 
+/// Guards against a reply that is no HTTP and is taken for a refusal of the instance.
+#[async_std::test]
+async fn a_reply_with_an_invalid_status_counts_as_lost() {
+    for status in ["000", "099", "600", "999"] {
+        let (listener, addr) = standin::listen().await;
+        let reply = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n{{}}");
+        let accepting = async_std::task::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            stream.read(&mut [0; 1024]).await.unwrap();
+            stream.write_all(reply.as_bytes()).await.unwrap();
+        });
+        let addr = addr.to_string();
+        let output = run(&["query", "pattern-finder", "--instance", &addr], &[]).await;
+        assert_eq!(output.status.code(), Some(4), "{status}: {output:?}");
+        accepting.await;
+    }
+}
+
 struct KeysCase {
     name: &'static str,
     env: &'static str,
--- a/tests/platform_client.rs
+++ b/tests/platform_client.rs
@@ -238,6 +238,10 @@
             name: "an oversized body",
             bytes: || body(&" ".repeat((16 << 20) + 1)),
         },
+        Reply {
+            name: "status zero",
+            bytes: || b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n".to_vec(),
+        },
         Reply {
             name: "an unknown status",
             bytes: || b"HTTP/1.1 999 ?\r\n\r\n".to_vec(),
--- a/tests/soak/http.rs
+++ b/tests/soak/http.rs
@@ -107,7 +107,7 @@
     let field = |(name, value): &(&str, &str)| format!("{name}: {value}\r\n");
     let fields: String = fields.iter().map(field).collect();
     let head = format!(
-        "HTTP/1.1 {status} X\r\n{fields}Content-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status:03} X\r\n{fields}Content-Length: {}\r\n\r\n",
         body.len()
     );
     [head.as_bytes(), body].concat()
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -55,6 +55,9 @@
     /// Crashes when it runs a request for [`CRASHING_PATH`], and serves all others.
     #[allow(dead_code, reason = "only tests/crashing_requests.rs uses it")]
     Crashes,
+    /// Runs requests and answers with this status, saying that it ran nothing or not.
+    #[allow(dead_code, reason = "only tests/invalid_status.rs uses it")]
+    Answers { status: u16, says_not_run: bool },
     /// Sends every answer twice.
     DuplicatesResponses,
     /// Sends half of each answer and closes the connection.
@@ -287,12 +290,22 @@
             target: req.line.clone(),
         });
         let stamp = format!("{}.{request}", self.service);
-        let status = if mode == ReplicaMode::Fails { 500 } else { 200 };
+        let status = match mode {
+            ReplicaMode::Fails => 500,
+            ReplicaMode::Answers { status, .. } => status,
+            _ => 200,
+        };
         let limit = RATE_LIMIT.to_string();
         let mut fields = vec![("Request-Id", request.as_str()), ("Answer-Stamp", &stamp)];
         if mode == ReplicaMode::StatesRateLimit {
             fields.push(("Server-Limit", &limit));
         }
+        if let ReplicaMode::Answers {
+            says_not_run: true, ..
+        } = mode
+        {
+            fields.push(("Not-Executed", "1"));
+        }
         if mode == ReplicaMode::SaysItLeaves {
             fields.push(("Server-Leaving", "1"));
         }
