Test that requests in quarantine are served again after a trial

Real processes, on the platform with six instances and with hyssopwalk serve: a request crashes replicas until it is refused, the replicas are mended, and it has to be answered within a minute.

--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -39,6 +39,8 @@
 const COMES_AGAIN: Duration = Duration::from_millis(2_600);
 /// How long after a disturbance the rules hold again.
 const STABLE_WINDOW: Duration = Duration::from_secs(5);
+/// The time until the first trial, the turns of all instances, and some more.
+const SERVED_AGAIN_WITHIN: Duration = Duration::from_secs(60);
 /// How many of the late comings of a request that crashes replicas may reach any.
 const MAX_LATE_RETRIES: usize = 3;
 
@@ -78,6 +80,37 @@
     });
 }
 
+/// Guards against a request that stays refused although it would be answered by now, since no reply
+/// can clear what is never sent.
+#[test]
+fn a_request_that_crashed_replicas_is_served_again_after_a_trial() {
+    block_on(async {
+        let mut deployment = start("trial").await;
+        for proxied in &deployment.replicas {
+            proxied.replica.set_mode(ReplicaMode::Crashes);
+        }
+        let mut comings = Comings::new("/one/", 1);
+        comings.send(&mut deployment, COMES_AGAIN).await;
+        comings.send(&mut deployment, COMES_AGAIN).await;
+        assert_eq!(comings.crashes, 2);
+        let path = format!("/one/{CRASHING_PATH}");
+        let front = deployment.instances[0].front;
+        assert_eq!(status(front, &path, "refused").await, Some(503));
+
+        for proxied in &deployment.replicas {
+            proxied.replica.set_mode(ReplicaMode::Normal);
+        }
+        let until = Instant::now() + SERVED_AGAIN_WITHIN;
+        for instance in &deployment.instances {
+            while status(instance.front, &path, "again").await != Some(200) {
+                assert!(Instant::now() < until, "{} refuses", instance.front);
+                sleep(Duration::from_millis(100)).await;
+            }
+        }
+        deployment.close().await;
+    });
+}
+
 /// The comings of a request that crashes replicas.
 struct Comings {
     kind: &'static str,
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -4,6 +4,7 @@
 mod standin;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use hyssopwalk::Fingerprint;
 use serde_json::json;
@@ -17,6 +18,9 @@
 /// The first leg, and one more that shows that the crash was no coincidence.
 const MAX_RUNS_PER_INSTANCE: usize = 2;
 
+/// A poison request is tried again this long after it crashed upstreams.
+const TRIAL_AFTER: Duration = Duration::from_secs(10);
+
 fn runs(index: &guild::Index) -> usize {
     let upstreams = index.upstreams.iter();
     upstreams
@@ -97,3 +101,27 @@
         .await;
     }
 }
+
+/// Guards against a request that stays refused although it would be answered by now, since no reply
+/// can clear what is never sent.
+#[async_std::test]
+async fn a_poison_request_is_answered_again_after_a_trial() {
+    let platform = Platform::start().await;
+    let index = guild::start(&platform, &guild::SIZES[3..]).await.remove(0);
+    let one = Instance::start("one", &platform).await;
+    until("a first answer", || async {
+        matches!(query(one.addr, CLASS, "{}").await, Ok((200, _)))
+    })
+    .await;
+    set_mode_of_all(&index, Mode::Crash);
+    until("the request to be refused", || async {
+        error_kind(one.addr, POISON).await == "poison"
+    })
+    .await;
+    set_mode_of_all(&index, Mode::Normal);
+    async_std::task::sleep(TRIAL_AFTER - Duration::from_secs(2)).await;
+    until("an answer", || async {
+        matches!(query(one.addr, CLASS, POISON).await, Ok((200, _)))
+    })
+    .await;
+}
