Tell requests for different hosts apart in the quarantine

What callers saw: a request that crashed the upstreams of one host had the same path refused on every other host of the deployment, whose services are different ones.

Cause: the fingerprint of a request held its method, target and body, and not its host.

Evidence: requests_are_told_apart_by_what_they_ask_for, case another_host, failed before and passes. Instances of the version before have other fingerprints, so marks are not shared with them.

--- a/src/platform/front.rs
+++ b/src/platform/front.rs
@@ -170,11 +170,12 @@
     let path = head.target.split('?').next().unwrap_or_default();
     let payload = payload::encode(head, id, body)
         .map_err(|error| Refusal::new(ErrorKind::Internal, error.to_string()))?;
+    let host = host.to_ascii_lowercase();
     Ok(RouteRequest {
         query,
-        host: host.to_ascii_lowercase(),
+        fingerprint: Fingerprint::of_request(&head.method, &host, &head.target, body),
+        host,
         path: path.to_owned(),
-        fingerprint: Fingerprint::of_request(&head.method, &head.target, body),
         body: payload,
         time_left,
     })
@@ -204,3 +205,7 @@
         Ok(Ok(()))
     )
 }
+
+#[cfg(test)]
+#[path = "front_tests.rs"]
+mod front_tests;
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -95,9 +95,9 @@
 
     /// Returns the fingerprint of an HTTP request, regardless of its sender and its id.
     #[must_use]
-    pub fn of_request(method: &str, target: &str, body: &[u8]) -> Self {
+    pub fn of_request(method: &str, host: &str, target: &str, body: &[u8]) -> Self {
         let mut hasher = SipHasher13::new();
-        for field in [method.as_bytes(), target.as_bytes()] {
+        for field in [method, host, target].map(str::as_bytes) {
             hasher.write(field);
             hasher.write_u8(0);
         }
