Check whether the upstreams that a poison request lost still live

What callers saw: a page that is the only request for its replicas stayed refused after their trouble was over. Replies to other requests are the proof that its replicas live, and there are none; a trial comes after 10 s, and after 120 s if it is lost as well.

Fix: while a request is poison, the upstreams of its incidents of the last 30 s get a health check twice a second, with the id that they have to have and without the id of a request. Any response of their own proves that they live. Fleets of more than eight instances check more rarely from each. No call is made while no request is poison.

Evidence: the case without_other_requests_for_its_replicas of tests/crashing_requests.rs (14 s of trouble, real processes) failed before in one of two runs, with 0 of 59 requests for the page served; it passes with this change, in one run so far.

--- a/src/connection/links.rs
+++ b/src/connection/links.rs
@@ -14,6 +14,7 @@
 use crate::process::{Clock, LegResult, LegTransport, Rank, Ranked};
 use crate::request::{LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, UpstreamName};
+use crate::version::UpstreamSpec;
 
 const MAX_CONNECTS_IN_FLIGHT: usize = 32;
 
@@ -77,6 +78,11 @@
         })
     }
 
+    /// Upstreams do not say whether they started again.
+    fn check_health<'a>(&'a self, _: &'a UpstreamSpec, _: &'a str) -> BoxFuture<'a, bool> {
+        Box::pin(async { false })
+    }
+
     /// Cancelling a leg resets only its own stream; the connection's other streams go on.
     fn cancel_costs_connection(&self) -> bool {
         false
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -11,7 +11,7 @@
 use crate::types::{
     ByteCount, ConfigVersion, ConnectionCount, ParseError, Ratio, ServiceName, SlotCount, Span,
 };
-use crate::version::{CallerLimits, Gather, Route, RouteTable, RouteTo, UpstreamSpec};
+use crate::version::{CallerLimits, Gather, Route, RouteTable, RouteTo, Service, UpstreamSpec};
 
 const CONFIG_KEY: &str = "config/main";
 const CONFIG_PREFIX: &str = "config/";
@@ -104,6 +104,7 @@
     name: String,
     /// The connection limit of one replica, for all instances together.
     max_connections: u32,
+    health_path: Option<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -172,8 +173,12 @@
         let routes: Result<Vec<Route>, _> = wire.routes.into_iter().map(Route::try_from).collect();
         let mut services = IndexMap::with_capacity(wire.services.len());
         for service in wire.services {
-            let connections = ConnectionCount(service.max_connections);
-            services.insert(service.name.parse()?, connections);
+            let name = service.name.parse()?;
+            let service = Service {
+                max_connections: ConnectionCount(service.max_connections),
+                health_path: service.health_path,
+            };
+            services.insert(name, service);
         }
         let limits = wire.limits.map(CallerLimits::from).unwrap_or_default();
         Ok(Self::new(
--- a/src/platform/payload.rs
+++ b/src/platform/payload.rs
@@ -9,6 +9,7 @@
 
 use crate::connection::{RequestHead, is_hop_by_hop};
 use crate::types::{Span, UpstreamName};
+use crate::version::UpstreamSpec;
 
 /// Header with the caller's id of the attempt, which replicas echo.
 pub(super) const REQUEST_ID: &str = "Request-Id";
@@ -102,9 +103,17 @@
     }
 }
 
+/// Returns the head of a health check of one replica.
+pub(super) fn health_check(upstream: &UpstreamSpec, path: &str, time_left: Span) -> Vec<u8> {
+    let (addr, left) = (upstream.addr, time_left.as_millis());
+    let id = replica_id(&upstream.name);
+    format!("GET {path} HTTP/1.1\r\nHost: {addr}\r\n{DEADLINE}: {left}\r\n{EXPECT_INSTANCE}: {id}\r\nConnection: close\r\n\r\n")
+        .into_bytes()
+}
+
 /// Returns the platform's id of a replica: the upstream's name without the start time that follows
 /// the last colon.
-fn replica_id(upstream: &UpstreamName) -> &str {
+pub(super) fn replica_id(upstream: &UpstreamName) -> &str {
     let name = upstream.as_str();
     name.rsplit_once(':').map_or(name, |(id, _)| id)
 }
--- a/src/platform/replicas.rs
+++ b/src/platform/replicas.rs
@@ -9,17 +9,20 @@
 use indexmap::IndexMap;
 
 use super::carried::CarriedRequests;
-use super::payload::Payload;
+use super::payload::{self, Payload};
 use super::replica_pool::{Pool, PooledConn};
-use super::{reply, signals};
+use super::{reply, signals, tcp};
 use crate::connection::{Http1Conn, HttpError, ResponseHead};
 use crate::process::{Clock, LegResult, LegTransport, MemoryBudget, Rank, Ranked, UpstreamSignals};
 use crate::request::{Body, LegFailure, LegReply, LegRequest};
 use crate::types::{ConnectionCount, Span, UpstreamName};
+use crate::version::UpstreamSpec;
 
 /// Extra wait after the time that the replica was given, in which its own timeout response may
 /// still arrive.
 const REPLY_SLACK: Span = Span::from_millis(40);
+/// A health check waits for a slot like any request.
+const HEALTH_CHECK_TIMEOUT: Span = Span::from_millis(800);
 /// How long an idle connection is kept if its replica states no keep-alive time.
 const DEFAULT_KEEP_ALIVE: Span = Span::from_secs(5);
 /// An idle connection is kept for this many quarters of the time that its replica states, so that
@@ -129,6 +132,15 @@
     }
 }
 
+/// Sends a health check; returns whether the upstream itself responds, whatever it says.
+async fn is_responding(upstream: &UpstreamSpec, path: &str) -> Result<bool, HttpError> {
+    let mut conn = Http1Conn::new(tcp::connect(upstream.addr).await?);
+    let request_head = payload::health_check(upstream, path, HEALTH_CHECK_TIMEOUT);
+    let head = conn.send(&request_head, b"").await?;
+    let id = payload::replica_id(&upstream.name);
+    Ok(reply::is_from_instance(&head, id))
+}
+
 impl LegTransport for ReplicaTransport {
     fn call(&self, leg: LegRequest, max_connections: ConnectionCount) -> BoxFuture<'_, LegResult> {
         Box::pin(async move {
@@ -138,6 +150,20 @@
         })
     }
 
+    /// Checks over a connection of its own: a response to a health check names no request, after
+    /// which a connection is not used for others.
+    fn check_health<'a>(
+        &'a self,
+        upstream: &'a UpstreamSpec,
+        path: &'a str,
+    ) -> BoxFuture<'a, bool> {
+        Box::pin(async move {
+            let responding = is_responding(upstream, path);
+            let checked = timeout(HEALTH_CHECK_TIMEOUT.as_duration(), responding).await;
+            matches!(checked, Ok(Ok(true)))
+        })
+    }
+
     /// Cancelling a leg closes its connection. A new connection costs the replica time and adds to
     /// the platform's bill.
     fn cancel_costs_connection(&self) -> bool {
@@ -195,3 +221,7 @@
 #[cfg(test)]
 #[path = "resend_tests.rs"]
 mod resend_tests;
+
+#[cfg(test)]
+#[path = "health_check_tests.rs"]
+mod health_check_tests;
--- a/src/platform/reply.rs
+++ b/src/platform/reply.rs
@@ -13,6 +13,9 @@
 /// replica.
 const ENCODING: &str = "Content-Encoding";
 
+/// Header with the id of the replica that answers a health check.
+const INSTANCE: &str = "Instance-Id";
+
 const MISDIRECTED: u16 = 421;
 
 /// What is known of the responses on a connection before the next one. A replica may send a
@@ -43,6 +46,12 @@
     is_echoed(head, id) && !head.is_interim() && head.status != MISDIRECTED
 }
 
+/// Whether the response to a health check comes from the replica with that id.
+pub(super) fn is_from_instance(head: &ResponseHead, id: &str) -> bool {
+    let other = head.fields.get(INSTANCE).is_some_and(|named| named != id);
+    !other && !head.is_interim() && head.status != MISDIRECTED
+}
+
 /// Returns the id of the request that the response names.
 pub(super) fn named_request(head: &ResponseHead) -> Option<&str> {
     head.fields.get(REQUEST_ID)
--- a/src/process/catalog.rs
+++ b/src/process/catalog.rs
@@ -8,6 +8,7 @@
 
 use crate::types::{
     ClassName, ConfigVersion, IndexName, KeyRange, Ratio, ServiceName, ShardId, SnapshotId,
+    UpstreamName,
 };
 use crate::version::{
     Class, Gather, Route, RouteTable, RouteTo, Shard, Snapshot, Targets, UpstreamSpec,
@@ -63,6 +64,22 @@
         self.plans.get(&key(route)).cloned()
     }
 
+    /// Returns an upstream that is in use, and its service.
+    pub(crate) fn upstream(
+        &self,
+        name: &UpstreamName,
+    ) -> Option<(&ServiceName, &Arc<UpstreamSpec>)> {
+        let destinations = self.plans.values().flat_map(|plan| &plan.destinations);
+        let mut shards = destinations.flat_map(|(_, snapshot)| &snapshot.shards);
+        shards.find_map(|shard| {
+            let replica = shard
+                .replicas
+                .iter()
+                .find(|replica| replica.name == *name)?;
+            Some((shard.service.as_ref()?, replica))
+        })
+    }
+
     /// Whether any configuration is known.
     pub(crate) fn is_known(&self) -> bool {
         self.table.version > ConfigVersion::default()
--- a/src/process/engine.rs
+++ b/src/process/engine.rs
@@ -17,7 +17,7 @@
 use crate::error::{ErrorKind, Refusal};
 use crate::request::{Answer, LegRequest, Query, time_needed};
 use crate::types::{ConnectionCount, QueryId, Span};
-use crate::version::Class;
+use crate::version::{Class, UpstreamSpec};
 
 const JOB_QUEUE_CAPACITY: usize = 65_536;
 
@@ -27,6 +27,11 @@
     /// waits for the reply. Dropping the future cancels the leg at the upstream.
     fn call(&self, leg: LegRequest, max_connections: ConnectionCount) -> BoxFuture<'_, LegResult>;
 
+    /// Whether the upstream answers a request for this path under its own name. An upstream that
+    /// started again has another name, unless the protocol has no names that tell.
+    fn check_health<'a>(&'a self, upstream: &'a UpstreamSpec, path: &'a str)
+    -> BoxFuture<'a, bool>;
+
     /// Whether cancelling a leg closes its connection. If so, a leg whose reply is no
     /// longer needed is better left to finish, unless its caller has disconnected.
     fn cancel_costs_connection(&self) -> bool;
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -19,6 +19,7 @@
 mod object_decoder;
 mod outage;
 mod parent;
+mod proof_of_life;
 mod replica_registry;
 mod serve;
 mod silence;
--- /dev/null
+++ b/src/process/fleet/proof_of_life.rs
@@ -0,0 +1,50 @@
+//! Checks whether the upstreams that a poison request lost still live.
+//!
+//! Replies to other requests prove it as well. But a service may have no other requests, and a request
+//! that is refused gets none. See `docs/DESIGN.md`, "Poison requests".
+
+use std::sync::Arc;
+
+use async_std::task::sleep;
+use rand::Rng;
+
+use super::Node;
+use crate::types::{Span, UpstreamName};
+
+const CHECK_INTERVAL: Span = Span::from_millis(500);
+/// In a larger fleet each instance checks more rarely, so that an upstream is not checked more often.
+const INSTANCES_AT_INTERVAL: usize = 8;
+
+/// Checks upstreams until the process ends.
+pub(super) async fn run(node: Arc<Node>) {
+    loop {
+        let live = node.fleet.lock().present().count();
+        let longest = CHECK_INTERVAL.0 * live.div_ceil(INSTANCES_AT_INTERVAL).max(1) as u64;
+        let interval = rand::rng().random_range(longest / 2..=longest);
+        sleep(Span(interval).as_duration()).await;
+        let now = node.clock.now();
+        let unproven = node.engine.tables.suspects.lock().unproven_upstreams(now);
+        for upstream in unproven {
+            check(&node, &upstream).await;
+        }
+    }
+}
+
+async fn check(node: &Node, name: &UpstreamName) {
+    let catalog = node.catalog();
+    let Some((service, upstream)) = catalog.upstream(name) else {
+        return;
+    };
+    let configured = catalog.table.services.get(service);
+    let Some(path) = configured.and_then(|service| service.health_path.as_deref()) else {
+        return;
+    };
+    let sent = node.clock.now();
+    let lives = node.engine.transport.check_health(upstream, path).await;
+    if lives {
+        node.engine.tables.suspects.lock().survived(sent, name);
+    }
+    if let Some(suppressed) = node.engine.may_log() {
+        tracing::info!(upstream = %name, lives, left_out = suppressed, "checks an upstream that a request in quarantine lost");
+    }
+}
--- a/src/process/fleet/replica_registry.rs
+++ b/src/process/fleet/replica_registry.rs
@@ -95,11 +95,11 @@
         let mut replicas = Replicas::new();
         for listed in self.by_key.values() {
             let service = &listed.entry.service;
-            let Some(connections) = table.services.get(service) else {
+            let Some(configured) = table.services.get(service) else {
                 continue;
             };
             let spec = UpstreamSpec {
-                connections: *connections,
+                connections: configured.max_connections,
                 ..listed.entry.spec.clone()
             };
             let of_service = replicas.entry(service.clone()).or_default();
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -29,7 +29,7 @@
 };
 use crate::request::{LegFailure, LegRequest};
 use crate::types::{ByteCount, ConfigVersion, ConnectionCount, Incarnation, Ratio, Span};
-use crate::version::{CallerLimits, RouteTable};
+use crate::version::{CallerLimits, RouteTable, UpstreamSpec};
 
 /// The time within which a configuration has to be in force on the users' grown deployments.
 pub(super) const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
@@ -237,6 +237,10 @@
         Box::pin(async { Err(LegFailure::Unreachable).into() })
     }
 
+    fn check_health<'a>(&'a self, _: &'a UpstreamSpec, _: &'a str) -> BoxFuture<'a, bool> {
+        Box::pin(async { false })
+    }
+
     fn cancel_costs_connection(&self) -> bool {
         false
     }
--- a/src/process/mark.rs
+++ b/src/process/mark.rs
@@ -29,6 +29,14 @@
     pub(crate) at: Timestamp,
 }
 
+impl Loss {
+    /// Whether the upstream has replied to a leg that was sent after the loss.
+    pub(super) fn is_survived(&self, last_replies: &LastReplies) -> bool {
+        let sent = last_replies.get(&self.upstream);
+        sent.is_some_and(|sent| *sent > self.at)
+    }
+}
+
 /// Losses of legs that were in flight together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Incident {
@@ -47,11 +55,8 @@
 
     /// Whether every upstream of the incident has replied to a leg that was sent after its loss.
     fn upstreams_survived(&self, last_replies: &LastReplies) -> bool {
-        let survived = |loss: &Loss| {
-            let sent = last_replies.get(&loss.upstream);
-            sent.is_some_and(|sent| *sent > loss.at)
-        };
-        !self.losses.is_empty() && self.losses.iter().all(survived)
+        let mut losses = self.losses.iter();
+        !self.losses.is_empty() && losses.all(|loss| loss.is_survived(last_replies))
     }
 }
 
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -30,6 +30,10 @@
 /// How long an instance has the right to make a trial before another one gets it, and how long it
 /// waits for the outcome.
 const TRIAL_TURN: Span = Span::from_secs(5);
+/// How long after an incident its upstreams are checked.
+const CHECK_FOR: Span = Span::from_secs(30);
+/// The maximum number of losses whose upstreams are checked at a time.
+const MAX_UNPROVEN: usize = 16;
 /// How often the instances that still refuse a request are told of its reply.
 const RESHARE_INTERVAL: Span = Span::from_secs(5);
 
@@ -138,6 +142,18 @@
         })
     }
 
+    /// Returns the upstreams that poison requests lost lately and that have not replied since.
+    pub(crate) fn unproven_upstreams(&self, now: Timestamp) -> IndexSet<UpstreamName> {
+        let poison = self.marks.iter();
+        let poison = poison.filter(|(request, _)| self.is_poison(now, **request));
+        let incidents = poison.flat_map(|(_, mark)| mark.incidents());
+        let recent = incidents.filter(|incident| now.since(incident.at) < CHECK_FOR);
+        let losses = recent.flat_map(|incident| &incident.losses);
+        let unproven = losses.filter(|loss| !loss.is_survived(&self.last_replies));
+        let names = unproven.map(|loss| loss.upstream.clone());
+        names.take(MAX_UNPROVEN).collect()
+    }
+
     /// Begins a trial of a poison request, unless one is under way.
     pub(crate) fn begin_trial(&mut self, now: Timestamp, request: Fingerprint) -> bool {
         let mark = self.marks.get_mut(&request);
--- a/src/process/suspects_tests.rs
+++ b/src/process/suspects_tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::{INCIDENT_TTL, MAX_SUSPECTS, SharedMark, Suspects, TRIAL_TURN};
+use super::{CHECK_FOR, INCIDENT_TTL, MAX_SUSPECTS, SharedMark, Suspects, TRIAL_TURN};
 use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
 const REQUEST: Fingerprint = Fingerprint(7);
@@ -195,6 +195,24 @@
     assert_eq!(state, (case.suspect, case.poison));
 }
 
+#[test]
+fn only_upstreams_of_poison_requests_that_have_not_replied_are_checked() {
+    let mut suspects = Suspects::default();
+    suspects.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    assert!(suspects.unproven_upstreams(at(6)).is_empty());
+    suspects.crashed(at(9), REQUEST, at(6), &upstream("b"));
+    suspects.crashed(at(9), REQUEST, at(6), &upstream("c"));
+    suspects.survived(at(10), &upstream("c"));
+    let names = |suspects: &Suspects, now| -> Vec<String> {
+        let unproven = suspects.unproven_upstreams(now);
+        unproven.iter().map(ToString::to_string).collect()
+    };
+    assert_eq!(names(&suspects, at(20)), ["a", "b"]);
+    assert!(names(&suspects, at(9) + CHECK_FOR).is_empty());
+    suspects.survived(at(12), &upstream("a"));
+    assert!(names(&suspects, at(20)).is_empty(), "one incident is left");
+}
+
 /// Guards against a request that is refused for as long as its incidents count, since no reply can
 /// clear what is never sent.
 #[test]
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -23,6 +23,6 @@
 pub use snapshot::{Shard, Snapshot, UpstreamSpec};
 pub use wire::{IndexWire, ShardWire, SnapshotWire, UpstreamWire, WireError};
 
-pub(crate) use routes::{CallerLimits, Gather, Route, RouteTable, RouteTo};
+pub(crate) use routes::{CallerLimits, Gather, Route, RouteTable, RouteTo, Service};
 
 pub(crate) use classes::{AcceptedChange, ClassEntry, Classes};
--- a/src/version/routes.rs
+++ b/src/version/routes.rs
@@ -16,12 +16,20 @@
     pub(crate) version: ConfigVersion,
     /// The routes of each host, longest prefix first.
     by_host: IndexMap<String, Vec<Arc<Route>>>,
-    /// The connection limit of a replica of each service, for all instances together.
-    pub(crate) services: IndexMap<ServiceName, ConnectionCount>,
+    pub(crate) services: IndexMap<ServiceName, Service>,
     /// The limits on callers' requests and connections.
     pub(crate) limits: CallerLimits,
 }
 
+/// What the configuration says of the replicas of one service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Service {
+    /// The connection limit of a replica, for all instances together.
+    pub(crate) max_connections: ConnectionCount,
+    /// The path of a replica's health check, if it has one.
+    pub(crate) health_path: Option<String>,
+}
+
 /// Limits on the size of a caller's request, the time to send it, and the idle time of the
 /// connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -86,7 +94,7 @@
     pub(crate) fn new(
         version: ConfigVersion,
         routes: Vec<Route>,
-        services: IndexMap<ServiceName, ConnectionCount>,
+        services: IndexMap<ServiceName, Service>,
         limits: CallerLimits,
     ) -> Self {
         let mut by_host: IndexMap<String, Vec<Arc<Route>>> = IndexMap::new();
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -167,20 +167,25 @@
 /// Guards against a page that stays refused because replicas closed connections while they ran it,
 /// although they closed those of all requests alike.
 #[rstest]
-#[case::single("/one/page")]
-#[case::order("/order/page")]
-#[case::gathered("/g/page")]
-fn a_page_is_served_again_after_replicas_closed_connections(#[case] page: &'static str) {
+#[case::single("/one/page", "/one/", 6)]
+#[case::order("/order/page", "/order/", 6)]
+#[case::gathered("/g/page", "/g/", 6)]
+#[case::without_other_requests_for_its_replicas("/one/page", "/g/", 14)]
+fn a_page_is_served_again_after_replicas_closed_connections(
+    #[case] page: &'static str,
+    #[case] others: &'static str,
+    #[case] disturbed_secs: u64,
+) {
     block_on(async {
-        let deployment = start(&format!("page{}", page.len())).await;
-        let others = page.trim_end_matches("page");
+        let disturbed = Duration::from_secs(disturbed_secs);
+        let deployment = start(&format!("page{}x{disturbed_secs}", page.len())).await;
         let before = send_for(&deployment, "before", page, others, Duration::from_secs(1)).await;
         let all_served = before.page.0 == before.page.1 && before.others.0 == before.others.1;
         assert!(all_served, "{before:?}");
         for proxied in &deployment.replicas {
             proxied.replica.set_mode(ReplicaMode::DropsMostResponses);
         }
-        send_for(&deployment, "during", page, others, Duration::from_secs(6)).await;
+        send_for(&deployment, "during", page, others, disturbed).await;
         for proxied in &deployment.replicas {
             proxied.replica.set_mode(ReplicaMode::Normal);
         }
--- a/tests/poison.rs
+++ b/tests/poison.rs
@@ -18,8 +18,8 @@
 /// The first leg, and one more that shows that the crash was no coincidence.
 const MAX_RUNS_PER_INSTANCE: usize = 2;
 
-/// A poison request is tried again this long after it crashed upstreams.
-const TRIAL_AFTER: Duration = Duration::from_secs(10);
+/// A poison request is tried again 10 s after it crashed upstreams.
+const NEARLY_TRIED: Duration = Duration::from_secs(8);
 
 fn runs(index: &guild::Index) -> usize {
     let upstreams = index.upstreams.iter();
@@ -119,7 +119,7 @@
     })
     .await;
     set_mode_of_all(&index, Mode::Normal);
-    async_std::task::sleep(TRIAL_AFTER - Duration::from_secs(2)).await;
+    async_std::task::sleep(NEARLY_TRIED).await;
     until("an answer", || async {
         matches!(query(one.addr, CLASS, POISON).await, Ok((200, _)))
     })
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -272,6 +272,9 @@
         if expected_id.is_some_and(|expected_id| expected_id != self.id) {
             return http::response(421, &[("Instance-Id", &self.id)], b"");
         }
+        if req.line == "GET /health" {
+            return http::response(200, &[("Instance-Id", &self.id)], b"");
+        }
         if mode == ReplicaMode::Sheds {
             return http::response(503, &[("Not-Executed", "1")], b"");
         }
