--- a/src/process/fleet/marks.rs
+++ b/src/process/fleet/marks.rs
@@ -15,10 +15,9 @@
 
 use super::Node;
 use crate::connection::PeerError;
-use crate::error::{ErrorKind, Refusal};
 use crate::process::cells::{Member, MemberState};
 use crate::process::{MarkReport, PeerRequest};
-use crate::types::{Fingerprint, Incarnation, Span, Timestamp};
+use crate::types::{Fingerprint, Incarnation, Span};
 
 /// How many other instances are told. More would need more connections than are kept open.
 const RECIPIENTS: u32 = 6;
@@ -106,34 +105,8 @@
 }
 
 impl Node {
-    /// Refuses a poison request unless it is this instance's turn to try it again. Returns whether
-    /// it is tried.
-    ///
-    /// # Errors
-    /// A [`Refusal`] of the kind [`ErrorKind::Poison`].
-    pub(super) fn check_quarantine(
-        &self,
-        now: Timestamp,
-        request: Fingerprint,
-    ) -> Result<bool, Refusal> {
-        let suspects = &self.engine.tables.suspects;
-        let Some(quarantine) = suspects.lock().quarantine(now, request) else {
-            return Ok(false);
-        };
-        let turn = quarantine.turn(now);
-        let is_own_turn = turn.is_some_and(|turn| self.owns_trial(request, turn));
-        if is_own_turn && suspects.lock().begin_trial(now, request) {
-            tracing::info!(%request, ?turn, "tries a request in quarantine on one upstream");
-            return Ok(true);
-        }
-        let detail = "the same request lost its upstreams and never had a reply";
-        let mut refusal = Refusal::new(ErrorKind::Poison, detail);
-        refusal.retry_after = Some(quarantine.retry_after(now));
-        Err(refusal)
-    }
-
     /// Whether this is the one instance that may try the request in that turn.
-    fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
+    pub(super) fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
         let fleet = self.fleet.lock();
         let live = fleet.present().map(|record| &record.member);
         let live = live.filter(|member| member.state <= MemberState::Live);
--- a/src/process/fleet/serve.rs
+++ b/src/process/fleet/serve.rs
@@ -75,7 +75,10 @@
             Refusal::new(ErrorKind::NotFound, "no route is for this host and path")
         })?;
         let now = self.clock.now();
-        let is_trial = self.check_quarantine(now, req.fingerprint)?;
+        let owns_turn = |turn| self.owns_trial(req.fingerprint, turn);
+        let is_trial = self
+            .engine
+            .check_quarantine(now, req.fingerprint, owns_turn)?;
         let draw = rand::rng().random();
         let snapshot = plan
             .destination(draw)
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -117,7 +117,9 @@
     ) -> Result<Answer, Refusal> {
         self.check_learned()?;
         let started = self.clock.now();
-        let is_trial = self.check_quarantine(&query_request, started)?;
+        let request = Fingerprint::of(&query_request.class, &query_request.body);
+        let owns_turn = |turn| self.owns_trial(request, turn);
+        let is_trial = self.engine.check_quarantine(started, request, owns_turn)?;
         let stops_at = self.check_stopping(&query_request, started)?;
         let admitted = self.admit(&query_request)?;
         let mut claim = self.claim(&query_request, started).await?;
@@ -137,28 +139,6 @@
         outcome
     }
 
-    /// Refuses a poison request unless this instance may try it again. Returns whether it is tried.
-    fn check_quarantine(
-        &self,
-        query_request: &QueryRequest,
-        now: Timestamp,
-    ) -> Result<bool, Refusal> {
-        let request = Fingerprint::of(&query_request.class, &query_request.body);
-        let suspects = &self.engine.tables.suspects;
-        let Some(quarantine) = suspects.lock().quarantine(now, request) else {
-            return Ok(false);
-        };
-        let turn = quarantine.turn(now);
-        let is_own_turn = turn.is_some_and(|turn| self.owns_trial(request, turn));
-        if is_own_turn && suspects.lock().begin_trial(now, request) {
-            return Ok(true);
-        }
-        let detail = "the same request crashed upstreams more than once and never received a reply";
-        let mut refusal = Refusal::new(ErrorKind::Poison, detail);
-        refusal.retry_after = Some(quarantine.retry_after(now));
-        Err(refusal)
-    }
-
     /// Whether this instance may try the request in that turn. On average one instance may: no
     /// instance knows the names of all others.
     fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -45,6 +45,7 @@
 mod poison;
 mod poison_wire;
 mod pool;
+mod quarantine;
 mod rate_budget;
 mod service_retry_budget;
 mod settings;
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -11,6 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::mark::{INCIDENT_TTL, LastReplies, Loss, Mark};
+use super::quarantine::{Quarantine, TRIAL_TURN};
 use super::shared_marks::{MarkReport, SharedMark};
 use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
@@ -27,9 +28,6 @@
 /// The same after each failed trial, so that a request which crashes whatever runs it crashes a
 /// few upstreams only before its incidents expire.
 const LATER_TRIAL_AFTER: Span = Span::from_secs(120);
-/// How long an instance has the right to make a trial before another one gets it, and how long it
-/// waits for the outcome.
-const TRIAL_TURN: Span = Span::from_secs(5);
 /// How long after an incident its upstreams are checked.
 const CHECK_FOR: Span = Span::from_secs(30);
 /// The maximum number of losses whose upstreams are checked at a time.
@@ -49,27 +47,6 @@
     wake: Option<Sender<()>>,
 }
 
-/// A poison request that is refused until an instance tries it again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Quarantine {
-    /// No instance tries it before this time.
-    pub(crate) trials_from: Timestamp,
-}
-
-impl Quarantine {
-    /// Returns which turn of trials it is, by which instances agree on whose it is; none if it is
-    /// too early for a trial.
-    pub(crate) fn turn(self, now: Timestamp) -> Option<u64> {
-        let is_open = now >= self.trials_from;
-        is_open.then(|| now.since(self.trials_from).0 / TRIAL_TURN.0)
-    }
-
-    /// Returns when the request may be answered, if its next trial gets a reply.
-    pub(crate) fn retry_after(self, now: Timestamp) -> Span {
-        self.trials_from.since(now).max(TRIAL_TURN)
-    }
-}
-
 impl Suspects {
     /// Records that the connection to an upstream was lost while a leg of the request, sent at
     /// `sent`, was in flight on it without a reply.
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -23,7 +23,6 @@
 
 use async_std::future::timeout;
 use async_std::task::{block_on, sleep, spawn};
-use caller::Observations;
 use deployment::{Deployment, Sizes};
 use futures::future::join_all;
 use replica::{CRASHING_PATH, ReplicaMode};
@@ -31,7 +30,6 @@
 
 /// More than an instance may have to be told by others: each has to hear it.
 const INSTANCES: usize = 6;
-const STARTS_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a replica that crashed stays away.
 const DOWN: Duration = Duration::from_millis(1_500);
@@ -272,20 +270,8 @@
         ..Sizes::default()
     };
     let deployment = Deployment::start_sized(name, sizes).await;
-    let began = Instant::now();
     for instance in &deployment.instances {
-        loop {
-            let observations = Observations::default();
-            caller::send_each_kind("w", instance.front, &observations).await;
-            if observations.answered() == caller::REQUEST_KINDS as u64 {
-                break;
-            }
-            assert!(
-                began.elapsed() < STARTS_WITHIN,
-                "an instance does not serve"
-            );
-            sleep(Duration::from_millis(20)).await;
-        }
+        caller::wait_until_served(instance.front).await;
     }
     deployment
 }
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -20,13 +20,13 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_std::future::timeout;
 use async_std::io::WriteExt;
 use async_std::net::TcpStream;
 use async_std::task::{block_on, sleep, spawn};
-use caller::{Observations, send_request};
+use caller::send_request;
 use deployment::{Deployment, HOST, SINGLE_SERVICE, Sizes};
 use parking_lot::Mutex;
 use replica::{Flood, ReplicaMode};
@@ -82,7 +82,7 @@
         };
         let mut deployment = Deployment::start_sized(&name, SIZES).await;
         let front = deployment.instances[0].front;
-        wait_until_served(front).await;
+        caller::wait_until_served(front).await;
         let before = peak_memory_mb(deployment.instances[0].pid());
         if let Source::Replicas(flood) = source {
             let shards = deployment.replicas.iter().map(|proxied| &proxied.replica);
@@ -125,23 +125,6 @@
     });
 }
 
-async fn wait_until_served(front: SocketAddr) {
-    let began = Instant::now();
-    loop {
-        let observations = Observations::default();
-        caller::send_each_kind("w", front, &observations).await;
-        if observations.answered() == caller::REQUEST_KINDS as u64 {
-            return;
-        }
-        let waited = began.elapsed();
-        assert!(
-            waited < Duration::from_secs(20),
-            "the instance does not serve"
-        );
-        sleep(Duration::from_millis(50)).await;
-    }
-}
-
 async fn run_flood(source: Source, front: SocketAddr, at: usize, stop: Arc<AtomicBool>) {
     let mut connection = None;
     for number in 0.. {
--- a/tests/invalid_status.rs
+++ b/tests/invalid_status.rs
@@ -15,16 +15,15 @@
 mod replica;
 mod standin;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_std::future::timeout;
-use async_std::task::{block_on, sleep};
-use caller::{NOT_RUN_STATUSES, Observations, send_each_kind, send_request};
+use async_std::task::block_on;
+use caller::{NOT_RUN_STATUSES, send_request, wait_until_served};
 use deployment::Deployment;
 use replica::ReplicaMode;
 use rstest::rstest;
 
-const STARTS_WITHIN: Duration = Duration::from_secs(20);
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
 const KINDS: [&str; 3] = ["/one/", "/order/", "/g/"];
 
@@ -73,19 +72,3 @@
         deployment.close().await;
     });
 }
-
-async fn wait_until_served(front: std::net::SocketAddr) {
-    let began = Instant::now();
-    loop {
-        let observations = Observations::default();
-        send_each_kind("w", front, &observations).await;
-        if observations.answered() == caller::REQUEST_KINDS as u64 {
-            return;
-        }
-        assert!(
-            began.elapsed() < STARTS_WITHIN,
-            "the instance does not serve"
-        );
-        sleep(Duration::from_millis(20)).await;
-    }
-}
--- a/tests/soak/caller.rs
+++ b/tests/soak/caller.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
 use async_std::io::WriteExt;
@@ -16,6 +16,8 @@
 use super::replica::records;
 
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+/// The time that an instance has to start.
+const STARTS_WITHIN: Duration = Duration::from_secs(20);
 const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
 /// Statuses that guarantee that the request has not run and never will.
 pub(crate) const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -85,6 +87,21 @@
     }
 }
 
+/// Waits until an instance answers requests of every kind.
+#[allow(dead_code, reason = "the soak itself does not use it")]
+pub(crate) async fn wait_until_served(front: SocketAddr) {
+    let began = Instant::now();
+    loop {
+        let observations = Observations::default();
+        send_each_kind("w", front, &observations).await;
+        if observations.answered() == REQUEST_KINDS as u64 {
+            return;
+        }
+        assert!(began.elapsed() < STARTS_WITHIN, "{front} does not serve");
+        sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Sends a request and reads its answer; opens a connection if there is none.
 pub(crate) async fn send_request(
     connection: &mut Option<(TcpStream, Vec<u8>)>,
