Report only incidents that stay unexplained for a second

Cause: incidents were reported after 0.1 s. Most were of gathered queries that lost a leg, often to a replica with too many connections, before their first reply came; each went to all 295 instances, and so did the reply.

Fix: an incident that no other instance knows waits for a second, and is not reported if the request had a reply by then, or its upstreams have shown that they live. What other instances reported is passed on at once, as before.

--- a/src/process/fleet/marks.rs
+++ b/src/process/fleet/marks.rs
@@ -21,9 +21,9 @@
 
 /// How many other instances are told. More would need more connections than are kept open.
 const RECIPIENTS: u32 = 6;
-/// Most suspects are cleared within this time by the reply to a second leg.
+/// How long changes are collected for one message.
 const SHARE_DELAY: Span = Span::from_millis(100);
-/// The pause between two messages to the same few instances, while marks change all the time.
+/// The pause between two messages, while marks change all the time.
 const SHARE_INTERVAL: Span = Span::from_millis(300);
 const SEND_TIMEOUT: Span = Span::from_millis(900);
 
@@ -42,8 +42,8 @@
         if !reports.is_empty() {
             log(&node, &reports);
             send(&node, reports, &mut older).await;
-            sleep(SHARE_INTERVAL.as_duration()).await;
         }
+        sleep(SHARE_INTERVAL.as_duration()).await;
         node.engine.tables.suspects.lock().wake_if_unshared();
     }
 }
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -32,6 +32,9 @@
 const CHECK_FOR: Span = Span::from_secs(30);
 /// The maximum number of losses whose upstreams are checked at a time.
 const MAX_UNPROVEN: usize = 16;
+/// Most requests that lose a connection have a reply within this time, from another upstream or for
+/// another attempt of their caller.
+const SETTLE_TIME: Span = Span::from_secs(1);
 /// How often the instances that still refuse a request are told of its reply.
 const RESHARE_INTERVAL: Span = Span::from_secs(5);
 
@@ -172,16 +175,26 @@
         mark.add_unexplained(now, POISON_INCIDENTS);
     }
 
-    /// Returns the marks that have changed, for instances that have not heard of them.
+    /// Returns the marks that have changed, for instances that have not heard of them. One that no
+    /// other instance knows waits for a reply, or for proof that the upstreams live.
     pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<MarkReport> {
-        let rest = MAX_MARKS_PER_MESSAGE.min(self.unshared.len());
-        let requests: Vec<Fingerprint> = self.unshared.drain(..rest).collect();
         let mut reports = Vec::new();
-        for request in requests {
-            if let Some(mark) = self.marks.get_mut(&request) {
-                mark.shared_at = Some(now);
-                reports.extend(MarkReport::new(now, request, mark));
+        for request in std::mem::take(&mut self.unshared) {
+            let (_, counted) = self.counted(now, request);
+            let Some(mark) = self.marks.get_mut(&request) else {
+                continue;
+            };
+            let is_unknown_elsewhere = mark.shared_at.is_none();
+            if is_unknown_elsewhere && counted == 0 {
+                continue;
             }
+            let is_unsettled = is_unknown_elsewhere && now.since(mark.changed_at()) < SETTLE_TIME;
+            if is_unsettled || reports.len() >= MAX_MARKS_PER_MESSAGE {
+                self.unshared.insert(request);
+                continue;
+            }
+            mark.shared_at = Some(now);
+            reports.extend(MarkReport::new(now, request, mark));
         }
         reports
     }
