Report first incidents to one instance in large fleets, and verdicts with what they rest on

Causes: a verdict went out in messages between followers and parents before its incidents, which were not reported at all once their own instance had withdrawn them; the others could not check it, and passed it on to each other. And every first incident still went to all 295 instances: 89,036 reports in 12 s, mostly of requests that a replica with too many connections had reset and that never come again.

Fix: an instance passes a verdict on only after it has reported the incidents, reports incidents of a request that was poison also when they are withdrawn by then, and tells those that only know the verdict.

--- a/src/process/fleet/marks.rs
+++ b/src/process/fleet/marks.rs
@@ -48,32 +48,44 @@
     }
 }
 
-fn log(node: &Node, reports: &[MarkReport]) {
-    for report in reports {
+fn log(node: &Node, reports: &[(MarkReport, bool)]) {
+    for (report, is_for_all) in reports {
         if let Some(suppressed) = node.engine.may_log() {
             let (request, incidents) = (report.request, report.incidents.len());
             let lost = report.lost_upstreams();
             let replied = report.replied.map(|age| age.to_string());
-            tracing::info!(%request, incidents, lost, replied, left_out = suppressed, "shares the mark of a request that lost its connections");
+            tracing::info!(%request, incidents, lost, replied, is_for_all, left_out = suppressed, "shares the mark of a request that lost its connections");
         }
     }
 }
 
-async fn send(node: &Node, reports: Vec<MarkReport>, older: &mut OlderInstances) {
-    let me = &node.settings.me.member;
-    let mut recipients: Vec<(SocketAddr, Incarnation)> = {
+async fn send(node: &Node, reports: Vec<(MarkReport, bool)>, older: &mut OlderInstances) {
+    let mut messages: IndexMap<(SocketAddr, Incarnation), Vec<MarkReport>> = IndexMap::new();
+    {
+        let me = &node.settings.me.member;
         let fleet = node.fleet.lock();
-        let present = fleet.present().map(|record| &record.member).collect();
-        let chosen = recipients(present, me);
-        let address = |member: &&Member| (member.peer_addr, member.incarnation);
-        chosen.iter().map(address).collect()
-    };
-    recipients.retain(|(addr, incarnation)| older.get(addr) != Some(incarnation));
-    let request = PeerRequest::Marks(reports);
-    let requests = recipients.iter();
-    let requests = requests.map(|(addr, _)| node.peers.request(*addr, &request, SEND_TIMEOUT));
-    let outcomes = join_all(requests).await;
-    for ((addr, incarnation), outcome) in recipients.into_iter().zip(outcomes) {
+        let present: Vec<&Member> = fleet.present().map(|record| &record.member).collect();
+        for (report, is_for_all) in reports {
+            let recipients = if is_for_all || present.len() <= RECIPIENTS as usize + 1 {
+                recipients(present.clone(), me)
+            } else {
+                collector(&present, me, report.request)
+                    .into_iter()
+                    .collect()
+            };
+            for member in recipients {
+                let address = (member.peer_addr, member.incarnation);
+                messages.entry(address).or_default().push(report.clone());
+            }
+        }
+    }
+    messages.retain(|(addr, incarnation), _| older.get(addr) != Some(incarnation));
+    let sent = messages.into_iter().map(|(address, reports)| async move {
+        let request = PeerRequest::Marks(reports);
+        let outcome = node.peers.request(address.0, &request, SEND_TIMEOUT).await;
+        (address, outcome)
+    });
+    for ((addr, incarnation), outcome) in join_all(sent).await {
         let Err(error) = outcome else {
             continue;
         };
@@ -84,6 +96,16 @@
     }
 }
 
+/// Returns the instance that collects the first incidents of a request, unless it is this one. In a
+/// large fleet most of them come to nothing, and all instances need not hear of them.
+fn collector<'a>(present: &[&'a Member], me: &Member, request: Fingerprint) -> Option<&'a Member> {
+    let live = present
+        .iter()
+        .filter(|member| member.state <= MemberState::Live);
+    let collector = live.max_by_key(|member| request.of_trial_turn(u64::MAX, &member.name));
+    collector.copied().filter(|member| member.name != me.name)
+}
+
 /// Chooses whom this instance tells: the same ones each time, so that connections are kept. On a ring
 /// in the order of the names' hashes their distances are powers of two, spread over the whole ring.
 /// Each is told by as many as it tells, and a mark reaches all within a few steps.
--- a/src/process/mark.rs
+++ b/src/process/mark.rs
@@ -69,6 +69,8 @@
     pub(super) replied_at: Option<Timestamp>,
     /// When other instances were last told of the mark.
     pub(super) shared_at: Option<Timestamp>,
+    /// Whether all instances were told that the request is poison, and have to be told of a reply.
+    pub(super) is_known_to_all: bool,
     /// No trial begins before this time.
     pub(super) next_trial: Timestamp,
 }
@@ -78,6 +80,12 @@
         &self.incidents
     }
 
+    /// Whether the losses of an incident are known here.
+    pub(super) fn is_explained(&self) -> bool {
+        let mut incidents = self.incidents.iter();
+        incidents.any(|incident| !incident.losses.is_empty())
+    }
+
     /// Records a lost leg. A leg that was sent before the last incident became known is part of
     /// that incident.
     pub(super) fn add_loss(&mut self, request: Fingerprint, sent: Timestamp, loss: Loss) {
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -35,7 +35,7 @@
 /// Most requests that lose a connection have a reply within this time, from another upstream or for
 /// another attempt of their caller.
 const SETTLE_TIME: Span = Span::from_secs(1);
-/// How often the instances that still refuse a request are told of its reply.
+/// How often the instances that refuse a request are told that it is not poison.
 const RESHARE_INTERVAL: Span = Span::from_secs(5);
 
 /// The suspect and poison requests.
@@ -149,23 +149,27 @@
         self.wake = Some(wake);
     }
 
-    /// Returns the poison requests, to be refused by other instances as well.
+    /// Returns the poison requests, to be refused by other instances as well. Those whose incidents
+    /// are known here are reported first: whoever hears of the verdict has to be able to check it.
     pub(crate) fn poison_requests(&self, now: Timestamp) -> Vec<Fingerprint> {
-        let requests = self.marks.keys().copied();
-        requests
+        let is_told = |mark: &Mark| mark.shared_at.is_some() || !mark.is_explained();
+        let told = self.marks.iter().filter(|(_, mark)| is_told(mark));
+        told.map(|(request, _)| *request)
             .filter(|request| self.is_poison(now, *request))
             .take(MAX_MARKS_PER_MESSAGE)
             .collect()
     }
 
     /// Marks a request as poison that another instance refuses, unless more is known of it here.
-    /// The other instance is told if this one had a reply since. An existing mark is not refreshed:
-    /// it would never expire if instances kept sending it to each other.
+    /// The other instance is told if it is not poison by what is known here. An existing mark is not
+    /// refreshed: it would never expire if instances kept sending it to each other.
     pub(crate) fn mark_poison(&mut self, now: Timestamp, request: Fingerprint) {
-        if let Some(mark) = self.marks.get(&request) {
+        let is_poison = self.is_poison(now, request);
+        if let Some(mark) = self.marks.get_mut(&request) {
             let told = mark.shared_at.unwrap_or_default();
-            let is_stale = mark.replied_at.is_some() && !self.is_poison(now, request);
-            if is_stale && now.since(told) > RESHARE_INTERVAL {
+            if !is_poison && now.since(told) > RESHARE_INTERVAL {
+                mark.is_known_to_all = true;
+                mark.shared_at = Some(now);
                 self.mark_unshared(request);
             }
             return;
@@ -175,26 +179,30 @@
         mark.add_unexplained(now, POISON_INCIDENTS);
     }
 
-    /// Returns the marks that have changed, for instances that have not heard of them. One that no
-    /// other instance knows waits for a reply, or for proof that the upstreams live.
-    pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<MarkReport> {
+    /// Returns the marks that have changed, for instances that have not heard of them. A first incident
+    /// that no other instance knows waits for a reply, or for proof that the upstreams live. Says of
+    /// each mark whether it concerns all instances, as poison requests do.
+    pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<(MarkReport, bool)> {
         let mut reports = Vec::new();
         for request in std::mem::take(&mut self.unshared) {
             let (_, counted) = self.counted(now, request);
             let Some(mark) = self.marks.get_mut(&request) else {
                 continue;
             };
-            let is_unknown_elsewhere = mark.shared_at.is_none();
-            if is_unknown_elsewhere && counted == 0 {
+            let was_poison = mark.incidents().len() >= POISON_INCIDENTS as usize;
+            let is_own_suspect = mark.shared_at.is_none() && !was_poison;
+            if is_own_suspect && counted == 0 {
                 continue;
             }
-            let is_unsettled = is_unknown_elsewhere && now.since(mark.changed_at()) < SETTLE_TIME;
+            let is_unsettled = is_own_suspect && now.since(mark.changed_at()) < SETTLE_TIME;
             if is_unsettled || reports.len() >= MAX_MARKS_PER_MESSAGE {
                 self.unshared.insert(request);
                 continue;
             }
             mark.shared_at = Some(now);
-            reports.extend(MarkReport::new(now, request, mark));
+            mark.is_known_to_all |= was_poison;
+            let is_for_all = mark.is_known_to_all;
+            reports.extend(MarkReport::new(now, request, mark).map(|report| (report, is_for_all)));
         }
         reports
     }
--- a/src/process/suspects_tests.rs
+++ b/src/process/suspects_tests.rs
@@ -250,7 +250,8 @@
 
 /// Passes on what changed, as it arrives `delay` later at an instance with another clock.
 fn report(from: &mut Suspects, now: Timestamp, to: &mut Suspects, to_now: Timestamp) {
-    to.merge_reports(to_now, from.take_reports(now));
+    let reports = from.take_reports(now).into_iter().map(|(report, _)| report);
+    to.merge_reports(to_now, reports.collect());
 }
 
 /// Guards against a poison request that is unknown to all instances but one
@@ -298,7 +299,10 @@
     let from_one = one.take_reports(at(1_100));
     assert!(!from_one.is_empty());
     report(&mut two, at(1_100), &mut one, at(1_110));
-    two.merge_reports(at(1_110), from_one);
+    two.merge_reports(
+        at(1_110),
+        from_one.into_iter().map(|(report, _)| report).collect(),
+    );
     assert!(!one.is_poison(at(1_120), REQUEST) && !two.is_poison(at(1_120), REQUEST));
 }
 
@@ -316,6 +320,60 @@
     assert!(!two.is_suspect(at(1_410), REQUEST));
 }
 
+/// Guards against instances that refuse a request because of a verdict that they cannot check, and
+/// that its own instance has withdrawn.
+#[test]
+fn a_verdict_is_passed_on_with_what_it_rests_on() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    one.crashed(at(9), REQUEST, at(6), &upstream("b"));
+    assert!(
+        one.poison_requests(at(10)).is_empty(),
+        "it is not reported yet"
+    );
+    one.survived(at(20), &upstream("a"));
+    one.survived(at(20), &upstream("b"));
+    report(&mut one, at(100), &mut two, at(110));
+    two.survived(at(120), &upstream("a"));
+    two.survived(at(120), &upstream("b"));
+    assert!(!two.is_suspect(at(130), REQUEST));
+}
+
+#[test]
+fn an_instance_that_only_knows_the_verdict_is_told_what_it_rests_on() {
+    let (mut one, mut two) = (Suspects::default(), Suspects::default());
+    one.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    one.crashed(at(9), REQUEST, at(6), &upstream("b"));
+    one.take_reports(at(100));
+    one.survived(at(200), &upstream("a"));
+    two.mark_poison(at(300), REQUEST);
+    assert!(two.is_poison(at(6_000), REQUEST));
+    one.mark_poison(at(6_000), REQUEST);
+    report(&mut one, at(6_100), &mut two, at(6_110));
+    two.survived(at(6_200), &upstream("a"));
+    assert!(!two.is_poison(at(6_300), REQUEST));
+}
+
+/// Guards against a large fleet in which every instance hears of every lost connection.
+#[test]
+fn only_poison_requests_concern_all_instances() {
+    let mut suspects = Suspects::default();
+    let concerns_all = |suspects: &mut Suspects, now| -> Vec<bool> {
+        let reports = suspects.take_reports(now).into_iter();
+        reports.map(|(_, is_for_all)| is_for_all).collect()
+    };
+    suspects.crashed(at(5), REQUEST, at(1), &upstream("a"));
+    assert_eq!(concerns_all(&mut suspects, at(1_100)), [false]);
+    suspects.crashed(at(6_000), REQUEST, at(5_990), &upstream("b"));
+    assert_eq!(concerns_all(&mut suspects, at(6_100)), [true]);
+    suspects.replied(at(17_000), REQUEST);
+    assert_eq!(
+        concerns_all(&mut suspects, at(17_100)),
+        [true],
+        "its reply does too"
+    );
+}
+
 struct Settling {
     replied: bool,
     survived: bool,
