--- a/src/process/fleet/proof_of_life.rs
+++ b/src/process/fleet/liveness.rs
@@ -1,7 +1,7 @@
-//! Checks whether the upstreams that a poison request lost still live.
+//! Checks whether the upstreams that a poison request lost are alive.
 //!
-//! Replies to other requests prove it as well. But a service may have no other requests, and a request
-//! that is refused gets none. See `docs/DESIGN.md`, "Poison requests".
+//! Replies to other requests show it as well. But a service may have no other requests, and a request
+//! that is refused gets no reply. See `docs/DESIGN.md`, "Poison requests".
 
 use std::sync::Arc;
 
@@ -12,7 +12,7 @@
 use crate::types::{Span, UpstreamName};
 
 const CHECK_INTERVAL: Span = Span::from_millis(500);
-/// In a larger fleet each instance checks more rarely, so that an upstream is not checked more often.
+/// In a larger fleet each instance checks more rarely, which bounds the checks of one upstream.
 const INSTANCES_AT_INTERVAL: usize = 8;
 
 /// Checks upstreams until the process ends.
@@ -23,8 +23,8 @@
         let interval = rand::rng().random_range(longest / 2..=longest);
         sleep(Span(interval).as_duration()).await;
         let now = node.clock.now();
-        let unproven = node.engine.tables.suspects.lock().unproven_upstreams(now);
-        for upstream in unproven {
+        let upstreams = node.engine.tables.suspects.lock().upstreams_to_check(now);
+        for upstream in upstreams {
             check(&node, &upstream).await;
         }
     }
@@ -40,11 +40,11 @@
         return;
     };
     let sent = node.clock.now();
-    let lives = node.engine.transport.check_health(upstream, path).await;
-    if lives {
+    let alive = node.engine.transport.check_health(upstream, path).await;
+    if alive {
         node.engine.tables.suspects.lock().survived(sent, name);
     }
     if let Some(suppressed) = node.engine.may_log() {
-        tracing::info!(upstream = %name, lives, left_out = suppressed, "checks an upstream that a request in quarantine lost");
+        tracing::info!(upstream = %name, alive, left_out = suppressed, "checks an upstream that a request in quarantine lost");
     }
 }
--- a/src/process/fleet/marks.rs
+++ b/src/process/fleet/marks.rs
@@ -2,7 +2,8 @@
 //! reply since.
 //!
 //! Each instance passes on what is new to it to a few others, which reaches all of them within
-//! a few steps. See `docs/DESIGN.md`, "Poison requests".
+//! a few steps. In a large fleet a first incident goes to one instance only. See `docs/DESIGN.md`,
+//! "Poison requests".
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,10 +17,10 @@
 use super::Node;
 use crate::connection::PeerError;
 use crate::process::cells::{Member, MemberState};
-use crate::process::{MarkReport, PeerRequest};
+use crate::process::{AddressedReport, Audience, MarkReport, PeerRequest};
 use crate::types::{Fingerprint, Incarnation, Span};
 
-/// How many other instances are told. More would need more connections than are kept open.
+/// How many other instances are told directly, within the number of connections that are kept open.
 const RECIPIENTS: u32 = 6;
 /// How long changes are collected for one message.
 const SHARE_DELAY: Span = Span::from_millis(100);
@@ -27,6 +28,9 @@
 const SHARE_INTERVAL: Span = Span::from_millis(300);
 const SEND_TIMEOUT: Span = Span::from_millis(900);
 
+/// A round in which no trial takes place.
+const COLLECTOR_ROUND: u64 = u64::MAX;
+
 /// The instances of the version before, which cannot read marks and close the connection.
 type OlderInstances = IndexMap<SocketAddr, Incarnation>;
 
@@ -48,30 +52,32 @@
     }
 }
 
-fn log(node: &Node, reports: &[(MarkReport, bool)]) {
-    for (report, is_for_all) in reports {
+fn log(node: &Node, reports: &[AddressedReport]) {
+    for AddressedReport { report, audience } in reports {
         if let Some(suppressed) = node.engine.may_log() {
             let (request, incidents) = (report.request, report.incidents.len());
             let lost = report.lost_upstreams();
             let replied = report.replied.map(|age| age.to_string());
-            tracing::info!(%request, incidents, lost, replied, is_for_all, left_out = suppressed, "shares the mark of a request that lost its connections");
+            tracing::info!(%request, incidents, lost, replied, ?audience, left_out = suppressed, "shares the mark of a request that lost its connections");
         }
     }
 }
 
-async fn send(node: &Node, reports: Vec<(MarkReport, bool)>, older: &mut OlderInstances) {
+async fn send(node: &Node, reports: Vec<AddressedReport>, older: &mut OlderInstances) {
     let mut messages: IndexMap<(SocketAddr, Incarnation), Vec<MarkReport>> = IndexMap::new();
     {
         let me = &node.settings.me.member;
         let fleet = node.fleet.lock();
         let present: Vec<&Member> = fleet.present().map(|record| &record.member).collect();
-        for (report, is_for_all) in reports {
-            let recipients = if is_for_all || present.len() <= RECIPIENTS as usize + 1 {
-                recipients(present.clone(), me)
-            } else {
-                collector(&present, me, report.request)
-                    .into_iter()
-                    .collect()
+        let is_small = present.len() <= RECIPIENTS as usize + 1;
+        for AddressedReport { report, audience } in reports {
+            let recipients = match audience {
+                Audience::Collector if !is_small => {
+                    let collector = elect(present.iter().copied(), report.request, COLLECTOR_ROUND);
+                    let other = collector.filter(|member| member.name != me.name);
+                    other.into_iter().collect()
+                }
+                Audience::Collector | Audience::All => recipients(present.clone(), me),
             };
             for member in recipients {
                 let address = (member.peer_addr, member.incarnation);
@@ -96,14 +102,14 @@
     }
 }
 
-/// Returns the instance that collects the first incidents of a request, unless it is this one. In a
-/// large fleet most of them come to nothing, and all instances need not hear of them.
-fn collector<'a>(present: &[&'a Member], me: &Member, request: Fingerprint) -> Option<&'a Member> {
-    let live = present
-        .iter()
-        .filter(|member| member.state <= MemberState::Live);
-    let collector = live.max_by_key(|member| request.of_trial_turn(u64::MAX, &member.name));
-    collector.copied().filter(|member| member.name != me.name)
+/// Returns the live instance that all instances which know the same others choose for a request.
+fn elect<'a>(
+    present: impl Iterator<Item = &'a Member>,
+    request: Fingerprint,
+    round: u64,
+) -> Option<&'a Member> {
+    let live = present.filter(|member| member.state <= MemberState::Live);
+    live.max_by_key(|member| request.rendezvous_weight(round, &member.name))
 }
 
 /// Chooses whom this instance tells: the same ones each time, so that connections are kept. On a ring
@@ -130,9 +136,8 @@
     /// Whether this is the one instance that may try the request in that turn.
     pub(super) fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
         let fleet = self.fleet.lock();
-        let live = fleet.present().map(|record| &record.member);
-        let live = live.filter(|member| member.state <= MemberState::Live);
-        let owner = live.max_by_key(|member| request.of_trial_turn(turn, &member.name));
+        let present = fleet.present().map(|record| &record.member);
+        let owner = elect(present, request, turn);
         owner.is_none_or(|owner| owner.name == self.settings.me.member.name)
     }
 }
--- a/src/process/fleet/node.rs
+++ b/src/process/fleet/node.rs
@@ -9,7 +9,7 @@
 use super::addresses;
 use super::{
     Fleet, InstanceRecord, ObjectCache, ObjectDecoder, ReplicaRegistry, SilenceTracker, follow,
-    marks, proof_of_life, store_reader,
+    liveness, marks, store_reader,
 };
 use crate::connection::Peers;
 use crate::process::cells::MemberState;
@@ -124,7 +124,7 @@
         suspects.wake_on_unshared(wake);
         drop(suspects);
         async_std::task::spawn(marks::share(Arc::clone(&node), updates));
-        async_std::task::spawn(proof_of_life::run(Arc::clone(&node)));
+        async_std::task::spawn(liveness::run(Arc::clone(&node)));
         store_reader::start(&node);
         async_std::task::spawn(follow::run(Arc::clone(&node)));
         async_std::task::spawn(follow::probe_missing(Arc::clone(&node)));
--- a/src/process/instance.rs
+++ b/src/process/instance.rs
@@ -143,7 +143,7 @@
     /// instance knows the names of all others.
     fn owns_trial(&self, request: Fingerprint, turn: u64) -> bool {
         let live = u64::from(self.orders.live()).max(1);
-        let draw = request.of_trial_turn(turn, &self.settings.name);
+        let draw = request.rendezvous_weight(turn, &self.settings.name);
         draw.0.is_multiple_of(live)
     }
 
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -127,7 +127,7 @@
     CellDelta, Heartbeat, HeartbeatReply, PeerRequest, PeerResponse, SeenInstance,
 };
 pub(crate) use platform::{Backoff, CallBucket};
-pub(crate) use shared_marks::{IncidentReport, MarkReport};
+pub(crate) use shared_marks::{AddressedReport, Audience, IncidentReport, MarkReport};
 pub(crate) use shutdown::{AbortedRequests, Shutdown, Step, StopSignal, StopTimes};
 pub(crate) use table::Table;
 pub(crate) use upstream_signals::{LegResult, UpstreamSignals};
--- a/src/process/shared_marks.rs
+++ b/src/process/shared_marks.rs
@@ -24,6 +24,22 @@
     pub(crate) incidents: Vec<IncidentReport>,
 }
 
+/// Which instances a report is meant for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Audience {
+    /// All instances have to refuse the request, or to stop refusing it.
+    All,
+    /// In a large fleet only the one that collects the incidents of the request.
+    Collector,
+}
+
+/// A report that has not been sent yet.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct AddressedReport {
+    pub(crate) report: MarkReport,
+    pub(crate) audience: Audience,
+}
+
 /// An incident since the last reply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct IncidentReport {
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -4,7 +4,7 @@
 //! one incident only makes a request a suspect: its next attempt is sent to a single
 //! upstream first. Any reply clears it, since a poison request never gets one. A second
 //! incident makes it poison: it is refused, but for a rare trial, whose reply clears it as
-//! well. An incident does not count once its upstreams prove that they did not crash. See
+//! well. An incident does not count once its upstreams show that they did not crash. See
 //! `docs/DESIGN.md`, "Poison requests".
 
 use async_std::channel::Sender;
@@ -12,7 +12,7 @@
 
 use super::mark::{INCIDENT_TTL, LastReplies, Loss, Mark};
 use super::quarantine::{Quarantine, TRIAL_TURN};
-use super::shared_marks::{MarkReport, SharedMark};
+use super::shared_marks::{AddressedReport, Audience, MarkReport, SharedMark};
 use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
 const POISON_INCIDENTS: u32 = 2;
@@ -20,18 +20,17 @@
 /// This part of the marks is evicted at a time, so that eviction is rare.
 const EVICTED_DIVISOR: usize = 8;
 /// The maximum number of marks sent to another instance at a time.
-pub(super) const MAX_MARKS_PER_MESSAGE: usize = 64;
+const MAX_MARKS_PER_MESSAGE: usize = 64;
 const MAX_UPSTREAMS: usize = 16_384;
-/// How long after its last incident a poison request may be tried again: long enough for a
-/// disturbance of a few upstreams to pass.
+/// How long after its second incident a poison request is tried again.
 const FIRST_TRIAL_AFTER: Span = Span::from_secs(10);
-/// The same after each failed trial, so that a request which crashes whatever runs it crashes a
-/// few upstreams only before its incidents expire.
+/// The same after each further incident. A request that crashes whatever runs it takes few upstreams
+/// until its incidents expire.
 const LATER_TRIAL_AFTER: Span = Span::from_secs(120);
 /// How long after an incident its upstreams are checked.
-const CHECK_FOR: Span = Span::from_secs(30);
+const CHECK_PERIOD: Span = Span::from_secs(30);
 /// The maximum number of losses whose upstreams are checked at a time.
-const MAX_UNPROVEN: usize = 16;
+const MAX_LOSSES_TO_CHECK: usize = 16;
 /// Most requests that lose a connection have a reply within this time, from another upstream or for
 /// another attempt of their caller.
 const SETTLE_TIME: Span = Span::from_secs(1);
@@ -73,7 +72,7 @@
             return;
         };
         if mark.shared_at.is_none() {
-            // Other instances may know of it by the shared object at most.
+            // Other instances know of it from the shared object, if at all.
             self.marks.swap_remove(&request);
             self.mark_unshared(request);
         } else if mark.merge_reply(now) {
@@ -123,15 +122,15 @@
     }
 
     /// Returns the upstreams that poison requests lost lately and that have not replied since.
-    pub(crate) fn unproven_upstreams(&self, now: Timestamp) -> IndexSet<UpstreamName> {
+    pub(crate) fn upstreams_to_check(&self, now: Timestamp) -> IndexSet<UpstreamName> {
         let poison = self.marks.iter();
         let poison = poison.filter(|(request, _)| self.is_poison(now, **request));
         let incidents = poison.flat_map(|(_, mark)| mark.incidents());
-        let recent = incidents.filter(|incident| now.since(incident.at) < CHECK_FOR);
+        let recent = incidents.filter(|incident| now.since(incident.at) < CHECK_PERIOD);
         let losses = recent.flat_map(|incident| &incident.losses);
-        let unproven = losses.filter(|loss| !loss.is_survived(&self.last_replies));
-        let names = unproven.map(|loss| loss.upstream.clone());
-        names.take(MAX_UNPROVEN).collect()
+        let unanswered = losses.filter(|loss| !loss.is_survived(&self.last_replies));
+        let names = unanswered.map(|loss| loss.upstream.clone());
+        names.take(MAX_LOSSES_TO_CHECK).collect()
     }
 
     /// Begins a trial of a poison request, unless one is under way.
@@ -180,9 +179,9 @@
     }
 
     /// Returns the marks that have changed, for instances that have not heard of them. A first incident
-    /// that no other instance knows waits for a reply, or for proof that the upstreams live. Says of
-    /// each mark whether it concerns all instances, as poison requests do.
-    pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<(MarkReport, bool)> {
+    /// that no other instance knows waits for a reply to the request, or a sign that the upstreams are
+    /// alive, since most of them come to nothing.
+    pub(crate) fn take_reports(&mut self, now: Timestamp) -> Vec<AddressedReport> {
         let mut reports = Vec::new();
         for request in std::mem::take(&mut self.unshared) {
             let (_, counted) = self.counted(now, request);
@@ -201,8 +200,13 @@
             }
             mark.shared_at = Some(now);
             mark.is_known_to_all |= was_poison;
-            let is_for_all = mark.is_known_to_all;
-            reports.extend(MarkReport::new(now, request, mark).map(|report| (report, is_for_all)));
+            let audience = if mark.is_known_to_all {
+                Audience::All
+            } else {
+                Audience::Collector
+            };
+            let report = MarkReport::new(now, request, mark);
+            reports.extend(report.map(|report| AddressedReport { report, audience }));
         }
         reports
     }
--- a/src/process/suspects_tests.rs
+++ b/src/process/suspects_tests.rs
@@ -2,7 +2,10 @@
 
 use rstest::rstest;
 
-use super::{CHECK_FOR, INCIDENT_TTL, MAX_SUSPECTS, SharedMark, Suspects, TRIAL_TURN};
+use super::{
+    Audience, CHECK_PERIOD, INCIDENT_TTL, MAX_SUSPECTS, MarkReport, SharedMark, Suspects,
+    TRIAL_TURN,
+};
 use crate::types::{Fingerprint, Span, Timestamp, UpstreamName};
 
 const REQUEST: Fingerprint = Fingerprint(7);
@@ -195,20 +198,21 @@
     assert_eq!(state, (case.suspect, case.poison));
 }
 
+/// Guards against health checks that are sent for every lost connection.
 #[test]
 fn only_upstreams_of_poison_requests_that_have_not_replied_are_checked() {
     let mut suspects = Suspects::default();
     suspects.crashed(at(5), REQUEST, at(1), &upstream("a"));
-    assert!(suspects.unproven_upstreams(at(6)).is_empty());
+    assert!(suspects.upstreams_to_check(at(6)).is_empty());
     suspects.crashed(at(9), REQUEST, at(6), &upstream("b"));
     suspects.crashed(at(9), REQUEST, at(6), &upstream("c"));
     suspects.survived(at(10), &upstream("c"));
     let names = |suspects: &Suspects, now| -> Vec<String> {
-        let unproven = suspects.unproven_upstreams(now);
-        unproven.iter().map(ToString::to_string).collect()
+        let upstreams = suspects.upstreams_to_check(now);
+        upstreams.iter().map(ToString::to_string).collect()
     };
     assert_eq!(names(&suspects, at(20)), ["a", "b"]);
-    assert!(names(&suspects, at(9) + CHECK_FOR).is_empty());
+    assert!(names(&suspects, at(9) + CHECK_PERIOD).is_empty());
     suspects.survived(at(12), &upstream("a"));
     assert!(names(&suspects, at(20)).is_empty(), "one incident is left");
 }
@@ -234,6 +238,7 @@
     assert_eq!(trials, vec![0, 1, 12, 133, 254, 375, 496]);
 }
 
+/// Guards against requests that arrive during a trial and crash upstreams as well.
 #[test]
 fn a_trial_is_not_begun_twice_at_a_time() {
     let mut suspects = Suspects::default();
@@ -248,10 +253,14 @@
     );
 }
 
-/// Passes on what changed, as it arrives `delay` later at an instance with another clock.
+fn reports(from: &mut Suspects, now: Timestamp) -> Vec<MarkReport> {
+    let addressed = from.take_reports(now).into_iter();
+    addressed.map(|addressed| addressed.report).collect()
+}
+
+/// Passes on what changed, to an instance whose clock shows `to_now` when it arrives.
 fn report(from: &mut Suspects, now: Timestamp, to: &mut Suspects, to_now: Timestamp) {
-    let reports = from.take_reports(now).into_iter().map(|(report, _)| report);
-    to.merge_reports(to_now, reports.collect());
+    to.merge_reports(to_now, reports(from, now));
 }
 
 /// Guards against a poison request that is unknown to all instances but one
@@ -281,6 +290,7 @@
     assert!(!one.is_suspect(at(13_200), REQUEST));
 }
 
+/// Guards against two incidents of one instance that are taken for one elsewhere.
 #[test]
 fn an_instance_that_hears_of_both_incidents_at_once_counts_both() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
@@ -290,22 +300,21 @@
     assert!(two.is_poison(at(1_110), REQUEST));
 }
 
-/// A request that is in flight at two instances when it crashes upstreams of both.
+/// Guards against a request that becomes poison because it was in flight at two instances when
+/// upstreams of both went.
 #[test]
 fn incidents_of_two_instances_at_the_same_time_are_one() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
     one.crashed(at(5), REQUEST, at(1), &upstream("a"));
     two.crashed(at(30), REQUEST, at(2), &upstream("b"));
-    let from_one = one.take_reports(at(1_100));
+    let from_one = reports(&mut one, at(1_100));
     assert!(!from_one.is_empty());
     report(&mut two, at(1_100), &mut one, at(1_110));
-    two.merge_reports(
-        at(1_110),
-        from_one.into_iter().map(|(report, _)| report).collect(),
-    );
+    two.merge_reports(at(1_110), from_one);
     assert!(!one.is_poison(at(1_120), REQUEST) && !two.is_poison(at(1_120), REQUEST));
 }
 
+/// Guards against an instance that believes a report which its own upstreams disprove.
 #[test]
 fn an_upstream_that_lives_excuses_an_incident_that_another_instance_reported() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
@@ -333,12 +342,15 @@
     );
     one.survived(at(20), &upstream("a"));
     one.survived(at(20), &upstream("b"));
+    two.mark_poison(at(30), REQUEST);
+    assert!(two.is_poison(at(40), REQUEST));
     report(&mut one, at(100), &mut two, at(110));
     two.survived(at(120), &upstream("a"));
     two.survived(at(120), &upstream("b"));
     assert!(!two.is_suspect(at(130), REQUEST));
 }
 
+/// Guards against an instance that missed a report and refuses the request until its trial.
 #[test]
 fn an_instance_that_only_knows_the_verdict_is_told_what_it_rests_on() {
     let (mut one, mut two) = (Suspects::default(), Suspects::default());
@@ -358,18 +370,18 @@
 #[test]
 fn only_poison_requests_concern_all_instances() {
     let mut suspects = Suspects::default();
-    let concerns_all = |suspects: &mut Suspects, now| -> Vec<bool> {
-        let reports = suspects.take_reports(now).into_iter();
-        reports.map(|(_, is_for_all)| is_for_all).collect()
+    let audiences = |suspects: &mut Suspects, now| -> Vec<Audience> {
+        let addressed = suspects.take_reports(now).into_iter();
+        addressed.map(|addressed| addressed.audience).collect()
     };
     suspects.crashed(at(5), REQUEST, at(1), &upstream("a"));
-    assert_eq!(concerns_all(&mut suspects, at(1_100)), [false]);
+    assert_eq!(audiences(&mut suspects, at(1_100)), [Audience::Collector]);
     suspects.crashed(at(6_000), REQUEST, at(5_990), &upstream("b"));
-    assert_eq!(concerns_all(&mut suspects, at(6_100)), [true]);
+    assert_eq!(audiences(&mut suspects, at(6_100)), [Audience::All]);
     suspects.replied(at(17_000), REQUEST);
     assert_eq!(
-        concerns_all(&mut suspects, at(17_100)),
-        [true],
+        audiences(&mut suspects, at(17_100)),
+        [Audience::All],
         "its reply does too"
     );
 }
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -83,12 +83,12 @@
         Self(hasher.finish())
     }
 
-    /// Returns the fingerprint of an instance for one turn of trials of this request, which orders
-    /// instances differently in each turn.
-    pub(crate) fn of_trial_turn(self, turn: u64, name: &InstanceName) -> Self {
+    /// Returns a weight of an instance by which all instances choose the same one for this request,
+    /// and another one in each round (rendezvous hashing).
+    pub(crate) fn rendezvous_weight(self, round: u64, name: &InstanceName) -> Self {
         let mut hasher = SipHasher13::new();
         hasher.write_u64(self.0);
-        hasher.write_u64(turn);
+        hasher.write_u64(round);
         hasher.write(name.as_str().as_bytes());
         Self(hasher.finish())
     }
--- a/tests/crashing_requests.rs
+++ b/tests/crashing_requests.rs
@@ -19,6 +19,8 @@
 mod standin;
 
 use std::net::SocketAddr;
+use std::ops::Range;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use async_std::future::timeout;
@@ -28,47 +30,52 @@
 use replica::{CRASHING_PATH, ReplicaMode};
 use rstest::rstest;
 
-/// More than an instance may have to be told by others: each has to hear it.
+/// If each instance sends a request to replicas once, there are more retries than are allowed.
 const INSTANCES: usize = 6;
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(3);
 /// How long a replica that crashed stays away.
 const DOWN: Duration = Duration::from_millis(1_500);
-/// From one coming of a request to the next, so that crashed replicas are back.
-const COMES_AGAIN: Duration = Duration::from_millis(2_600);
+/// The pause between two attempts of a caller, in which crashed replicas come back.
+const RETRY_INTERVAL: Duration = Duration::from_millis(2_600);
 /// How long after a disturbance the rules hold again.
 const STABLE_WINDOW: Duration = Duration::from_secs(5);
 /// The time until the first trial, the turns of all instances, and some more.
 const SERVED_AGAIN_WITHIN: Duration = Duration::from_secs(60);
-/// How many of the late comings of a request that crashes replicas may reach any.
+/// How many retries may reach replicas after the stable window that follows the third crash.
 const MAX_LATE_RETRIES: usize = 3;
 
+struct CrashCase {
+    /// The kind of the request, as the start of its path.
+    kind: &'static str,
+    /// The number of instances that get each attempt.
+    at_once: usize,
+}
+
 /// Guards against a request that crashes replicas anew at each instance that it is sent to.
 #[rstest]
-#[case::gathered("/g/", 1)]
-#[case::single("/one/", 1)]
-#[case::order("/order/", 1)]
-#[case::gathered_at_two_instances_at_once("/g/", 2)]
-#[case::single_at_two_instances_at_once("/one/", 2)]
-fn a_request_that_crashes_replicas_reaches_them_in_few_retries(
-    #[case] kind: &'static str,
-    #[case] at_once: usize,
-) {
+#[case::gathered(CrashCase { kind: "/g/", at_once: 1 })]
+#[case::single(CrashCase { kind: "/one/", at_once: 1 })]
+#[case::order(CrashCase { kind: "/order/", at_once: 1 })]
+#[case::gathered_at_two_instances_at_once(CrashCase { kind: "/g/", at_once: 2 })]
+#[case::single_at_two_instances_at_once(CrashCase { kind: "/one/", at_once: 2 })]
+fn a_request_that_crashes_replicas_reaches_them_in_few_retries(#[case] case: CrashCase) {
+    let CrashCase { kind, at_once } = case;
     block_on(async {
         let mut deployment = start(&format!("crash{}{at_once}", kind.len())).await;
         for proxied in &deployment.replicas {
             proxied.replica.set_mode(ReplicaMode::Crashes);
         }
-        let mut comings = Comings::new(kind, at_once);
-        while comings.crashes < 3 && comings.count < INSTANCES {
-            comings.send(&mut deployment, COMES_AGAIN).await;
+        let mut attempts = Attempts::new(kind, at_once);
+        while attempts.crashes < 3 && attempts.count < INSTANCES {
+            attempts.send(&mut deployment, RETRY_INTERVAL).await;
         }
-        comings.send_nothing(&mut deployment, STABLE_WINDOW).await;
-        let first_late = comings.count;
+        attempts.wait(&mut deployment, STABLE_WINDOW).await;
+        let first_late = attempts.count;
         for _ in 0..INSTANCES {
-            comings.send(&mut deployment, COMES_AGAIN).await;
+            attempts.send(&mut deployment, RETRY_INTERVAL).await;
         }
         let runs = deployment.runs.lock().clone();
-        let late = comings.ids(first_late..comings.count);
+        let late = attempts.ids(first_late..attempts.count);
         let reached: Vec<&String> = late
             .iter()
             .filter(|id| runs.iter().any(|run| run.request == **id))
@@ -87,10 +94,10 @@
         for proxied in &deployment.replicas {
             proxied.replica.set_mode(ReplicaMode::Crashes);
         }
-        let mut comings = Comings::new("/one/", 1);
-        comings.send(&mut deployment, COMES_AGAIN).await;
-        comings.send(&mut deployment, COMES_AGAIN).await;
-        assert_eq!(comings.crashes, 2);
+        let mut attempts = Attempts::new("/one/", 1);
+        attempts.send(&mut deployment, RETRY_INTERVAL).await;
+        attempts.send(&mut deployment, RETRY_INTERVAL).await;
+        assert_eq!(attempts.crashes, 2);
         let path = format!("/one/{CRASHING_PATH}");
         let front = deployment.instances[0].front;
         assert_eq!(status(front, &path, "refused").await, Some(503));
@@ -109,15 +116,15 @@
     });
 }
 
-/// The comings of a request that crashes replicas.
-struct Comings {
+/// The attempts of a caller that keeps sending a request which crashes replicas.
+struct Attempts {
     kind: &'static str,
     at_once: usize,
     count: usize,
     crashes: usize,
 }
 
-impl Comings {
+impl Attempts {
     fn new(kind: &'static str, at_once: usize) -> Self {
         Self {
             kind,
@@ -137,15 +144,15 @@
         });
         join_all(sent).await;
         self.count += 1;
-        self.send_nothing(deployment, pause).await;
+        self.wait(deployment, pause).await;
     }
 
-    async fn send_nothing(&mut self, deployment: &mut Deployment, pause: Duration) {
+    async fn wait(&mut self, deployment: &mut Deployment, pause: Duration) {
         let until = Instant::now() + pause;
         sleep(DOWN).await;
         for at in 0..deployment.replicas.len() {
             let is_down = &deployment.replicas[at].replica.is_down;
-            if is_down.load(std::sync::atomic::Ordering::SeqCst) {
+            if is_down.load(Ordering::SeqCst) {
                 self.crashes += 1;
                 deployment.crash(at).await;
                 deployment.replicas[at]
@@ -156,27 +163,39 @@
         sleep(until.saturating_duration_since(Instant::now())).await;
     }
 
-    fn ids(&self, comings: std::ops::Range<usize>) -> Vec<String> {
-        let ids = |coming| (0..self.at_once).map(move |at| format!("again{coming}x{at}"));
-        comings.flat_map(ids).collect()
+    fn ids(&self, attempts: Range<usize>) -> Vec<String> {
+        let ids = |attempt| (0..self.at_once).map(move |at| format!("again{attempt}x{at}"));
+        attempts.flat_map(ids).collect()
     }
 }
 
+struct PageCase {
+    page: &'static str,
+    /// The kind of the other requests, as the start of their paths.
+    others: &'static str,
+    /// How long replicas close connections.
+    disturbed: Duration,
+}
+
+const A_WHILE: Duration = Duration::from_secs(6);
+/// Longer than the time until the first trial.
+const LONG: Duration = Duration::from_secs(14);
+
 /// Guards against a page that stays refused because replicas closed connections while they ran it,
 /// although they closed those of all requests alike.
 #[rstest]
-#[case::single("/one/page", "/one/", 6)]
-#[case::order("/order/page", "/order/", 6)]
-#[case::gathered("/g/page", "/g/", 6)]
-#[case::without_other_requests_for_its_replicas("/one/page", "/g/", 14)]
-fn a_page_is_served_again_after_replicas_closed_connections(
-    #[case] page: &'static str,
-    #[case] others: &'static str,
-    #[case] disturbed_secs: u64,
-) {
+#[case::single(PageCase { page: "/one/page", others: "/one/", disturbed: A_WHILE })]
+#[case::order(PageCase { page: "/order/page", others: "/order/", disturbed: A_WHILE })]
+#[case::gathered(PageCase { page: "/g/page", others: "/g/", disturbed: A_WHILE })]
+#[case::without_other_requests_for_its_replicas(PageCase { page: "/one/page", others: "/g/", disturbed: LONG })]
+fn a_page_is_served_again_after_replicas_closed_connections(#[case] case: PageCase) {
+    let PageCase {
+        page,
+        others,
+        disturbed,
+    } = case;
     block_on(async {
-        let disturbed = Duration::from_secs(disturbed_secs);
-        let deployment = start(&format!("page{}x{disturbed_secs}", page.len())).await;
+        let deployment = start(&format!("page{}x{}", page.len(), disturbed.as_secs())).await;
         let before = send_for(&deployment, "before", page, others, Duration::from_secs(1)).await;
         let all_served = before.page.0 == before.page.1 && before.others.0 == before.others.1;
         assert!(all_served, "{before:?}");
