--- /dev/null
+++ b/src/process/fleet/delegate.rs
@@ -0,0 +1,69 @@
+//! The instance that reads the store in place of the reader, while the store does not answer the
+//! reader.
+//!
+//! The reader follows one of its own followers after the other. A follower that is asked for updates
+//! by an instance that it gets its own from knows why, and reads the store.
+
+use std::net::SocketAddr;
+
+use super::Fleet;
+use super::parent::ParentChoice;
+use crate::types::{Fingerprint, InstanceName, Span, Timestamp};
+
+/// How long a delegate that could not read the store does not try again.
+pub(super) const DELEGATE_PAUSE: Span = Span::from_secs(3);
+/// How long a delegate may take to read the store before the reader tries another one.
+pub(super) const DELEGATE_TIMEOUT: Span = Span::from_millis(700);
+/// A delegate reads the store until this long after the reader's last request.
+const DELEGATED_FOR: Span = Span::from_millis(1_500);
+
+impl ParentChoice {
+    pub(super) fn is_delegated(&self, now: Timestamp) -> bool {
+        self.delegated_by
+            .as_ref()
+            .is_some_and(|(_, until)| now < *until)
+    }
+}
+
+impl Fleet {
+    /// Records that `reader` follows this instance. If this one gets its own updates by way of the
+    /// reader, the reader does not reach the store, and this one reads it in its place for as long
+    /// as the reader follows it.
+    pub(crate) fn on_followed(
+        &mut self,
+        now: Timestamp,
+        reader: &InstanceName,
+        is_followed_itself: bool,
+    ) {
+        let delegated_by = self.choice.delegated_by.as_ref();
+        let is_renewal = delegated_by.is_some_and(|(by, until)| by == reader && now < *until);
+        let may_read = now >= self.choice.store_avoided_until;
+        if !(is_renewal || is_followed_itself && may_read) {
+            return;
+        }
+        if !is_renewal {
+            self.choice.store_failing = false;
+            self.publish(now);
+        }
+        self.choice.delegated_by = Some((reader.clone(), now + DELEGATED_FOR));
+    }
+
+    /// Returns the instances that may read the store in place of this one, in an order that mixes
+    /// the failure domains: a whole domain may be cut off from the store.
+    pub(super) fn delegates(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
+        let me = &self.me().member.name;
+        let members = self.usable(now).map(|record| &record.member);
+        let mut ranked: Vec<(Fingerprint, SocketAddr)> = members
+            .filter(|member| member.name != *me)
+            .map(|member| (Fingerprint::of_name(&member.name), member.peer_addr))
+            .collect();
+        ranked.sort_unstable();
+        ranked.into_iter().map(|(_, addr)| addr)
+    }
+
+    pub(super) fn is_delegate(&self, addr: SocketAddr) -> bool {
+        self.choice
+            .delegate
+            .is_some_and(|(delegate, _)| delegate == addr)
+    }
+}
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod avoided;
 mod chunks;
+mod delegate;
 mod follow;
 mod instance_record;
 mod large_objects;
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -4,22 +4,19 @@
 //! failure domain follows it, and the remaining instances follow the first one of their domain.
 //! There is no election: two instances that both read the store for a while only cost calls.
 //!
-//! When the store does not answer the reader, the reader follows one of its own followers after
-//! the other; a follower that is asked for updates by an instance that it gets its own from reads
-//! the store in its place. All others stay where they are. See `docs/DESIGN.md`, "Who reads the
-//! store".
+//! When the store does not answer the reader, another instance reads it in the reader's place; see
+//! `delegate.rs`. All others stay where they are. See `docs/DESIGN.md`, "Who reads the store".
 
 use std::net::SocketAddr;
 
 use super::addresses;
 use super::avoided::{AvoidReason, AvoidedInstances};
+use super::delegate::{DELEGATE_PAUSE, DELEGATE_TIMEOUT};
 use super::instance_record::serving_order;
 use super::{Fleet, InstanceRecord};
 use crate::process::cells::MemberState;
-use crate::types::{Fingerprint, InstanceName, Span, Timestamp};
+use crate::types::{InstanceName, Span, Timestamp};
 
-/// How long a delegate that could not read the store does not try again.
-const DELEGATE_PAUSE: Span = Span::from_secs(3);
 /// Updates confirmed longer ago than this are stale: a watch ends within a second.
 const STALE_AFTER: Span = Span::from_millis(1_400);
 /// Followers leave a parent with updates of this age. Until then the reader finds another way to
@@ -28,12 +25,8 @@
 /// Added to `LEAVE_AFTER` in proportion to an instance's rank in [`serving_order`], so that not all
 /// followers leave at once.
 const LEAVE_SPREAD: Span = Span::from_secs(4);
-/// How long a delegate may take to read the store before the reader tries another one.
-const DELEGATE_TIMEOUT: Span = Span::from_millis(700);
 /// How long an instance that joins reads the store besides following its parent.
 const JOIN_BY_STORE_FOR: Span = Span::from_secs(2);
-/// A delegate reads the store until this long after the reader's last request.
-const DELEGATED_FOR: Span = Span::from_millis(1_500);
 
 /// Where an instance gets its updates from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,23 +53,15 @@
 pub(crate) struct ParentChoice {
     pub(super) avoided: AvoidedInstances,
     /// Until when this instance makes no calls to the store, after one that failed.
-    store_avoided_until: Timestamp,
+    pub(super) store_avoided_until: Timestamp,
     /// Whether the store did not answer this instance's last call.
-    store_failing: bool,
+    pub(super) store_failing: bool,
     /// The follower that reads the store in place of this instance, and since when.
-    delegate: Option<(SocketAddr, Timestamp)>,
+    pub(super) delegate: Option<(SocketAddr, Timestamp)>,
     /// Until when this instance reads the store while it joins.
     joins_by_store_until: Timestamp,
     /// The reader in whose place this instance reads the store, and until when.
-    delegated_by: Option<(InstanceName, Timestamp)>,
-}
-
-impl ParentChoice {
-    pub(super) fn is_delegated(&self, now: Timestamp) -> bool {
-        self.delegated_by
-            .as_ref()
-            .is_some_and(|(_, until)| now < *until)
-    }
+    pub(super) delegated_by: Option<(InstanceName, Timestamp)>,
 }
 
 impl Fleet {
@@ -157,28 +142,6 @@
         }
     }
 
-    /// Records that `reader` follows this instance. If this one gets its own updates by way of the
-    /// reader, the reader does not reach the store, and this one reads it in its place for as long
-    /// as the reader follows it.
-    pub(crate) fn on_followed(
-        &mut self,
-        now: Timestamp,
-        reader: &InstanceName,
-        is_followed_itself: bool,
-    ) {
-        let delegated_by = self.choice.delegated_by.as_ref();
-        let is_renewal = delegated_by.is_some_and(|(by, until)| by == reader && now < *until);
-        let may_read = now >= self.choice.store_avoided_until;
-        if !(is_renewal || is_followed_itself && may_read) {
-            return;
-        }
-        if !is_renewal {
-            self.choice.store_failing = false;
-            self.publish(now);
-        }
-        self.choice.delegated_by = Some((reader.clone(), now + DELEGATED_FOR));
-    }
-
     /// Returns how recent updates are that the store confirmed `age` ago, or that they came by way
     /// of this instance.
     pub(crate) fn freshness(
@@ -254,7 +217,7 @@
     }
 
     /// Returns the instances that may be followed, and this one.
-    fn usable(&self, now: Timestamp) -> impl Iterator<Item = &InstanceRecord> {
+    pub(super) fn usable(&self, now: Timestamp) -> impl Iterator<Item = &InstanceRecord> {
         let me = &self.me().member.name;
         let is_usable = move |record: &&InstanceRecord| {
             let member = &record.member;
@@ -264,25 +227,6 @@
         self.present().filter(is_usable)
     }
 
-    /// Returns the instances that may read the store in place of this one, in an order that mixes
-    /// the failure domains: a whole domain may be cut off from the store.
-    fn delegates(&self, now: Timestamp) -> impl Iterator<Item = SocketAddr> {
-        let me = &self.me().member.name;
-        let members = self.usable(now).map(|record| &record.member);
-        let mut ranked: Vec<(Fingerprint, SocketAddr)> = members
-            .filter(|member| member.name != *me)
-            .map(|member| (Fingerprint::of_name(&member.name), member.peer_addr))
-            .collect();
-        ranked.sort_unstable();
-        ranked.into_iter().map(|(_, addr)| addr)
-    }
-
-    fn is_delegate(&self, addr: SocketAddr) -> bool {
-        self.choice
-            .delegate
-            .is_some_and(|(delegate, _)| delegate == addr)
-    }
-
     /// Returns the age of updates at which this instance leaves its parent.
     fn leave_after(&self) -> Span {
         let own_place = serving_order(self.me());
