Let followers leave a parent that has lost contact with the fleet

What callers saw: while one instance was cut off from the store and from the other failure domains, a sound instance of its domain went on with the old configuration for the whole cut (5.5 s): requests ran at the former service, new routes were refused, and replicas that had said that they leave got requests.

Cause: the first instance of a domain answers its followers also while it is cut off, with updates that only age. Followers take updates for fresh until they are 8 to 12 s old, because in an outage of the store nobody has newer ones and looking for them costs the whole fleet. Age alone does not tell the two apart.

Now an instance that has had no answer for 1.8 s states no age any more. In an outage of the store the chain up to the reader still answers, so nobody moves. An answer of one that has lost contact is no contact either, so it passes down a chain. Instances that join do not take such updates for those of a fleet that starts.

Test: cut_off_tests, case the_first_of_a_domain, failed before ("version 1 in force instead of 2"). Its other two cases passed before too.

--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -8,10 +8,10 @@
 use indexmap::IndexMap;
 use rand::seq::IndexedRandom;
 
-use super::{FollowReason, FollowRequest, Node, Parent, Updates};
+use super::{FollowReason, FollowRequest, Freshness, Node, Parent, Updates};
 use crate::process::member_metrics::UpdateOutcome;
 use crate::process::{PeerRequest, PeerResponse};
-use crate::types::{Incarnation, Position, Span};
+use crate::types::{Incarnation, Position, Span, Timestamp};
 
 /// An instance that does not answer within this time is unresponsive.
 const ANSWER_TIMEOUT: Span = Span::from_millis(900);
@@ -126,10 +126,11 @@
 ) -> Option<Progress> {
     let (follow, sent) = build_request(node, reason, progress);
     let request = PeerRequest::Follow(Box::new(follow));
+    let sent_at = node.clock.now();
     match node.peers.request(addr, &request, max_wait).await {
         Ok(PeerResponse::News(updates)) => {
             if reason == FollowReason::Follows {
-                judge(node, addr, &updates);
+                judge(node, addr, sent_at, &updates);
             }
             Some(apply_updates(
                 node,
@@ -146,7 +147,14 @@
                 .members
                 .updated(UpdateOutcome::Failed, 0);
             let now = node.clock.now();
-            node.fleet.lock().mark_unresponsive(now, addr);
+            {
+                let mut fleet = node.fleet.lock();
+                if reason == FollowReason::Follows {
+                    // A process that was paused knows nothing of the time before.
+                    fleet.on_no_answer(now, sent_at.max(now - ANSWER_TIMEOUT));
+                }
+                fleet.mark_unresponsive(now, addr);
+            }
             node.notify_waiters();
             None
         }
@@ -182,13 +190,18 @@
 }
 
 /// Decides whether to go on following an instance with these updates.
-fn judge(node: &Node, addr: SocketAddr, updates: &Updates) {
+fn judge(node: &Node, addr: SocketAddr, sent_at: Timestamp, updates: &Updates) {
     let now = node.clock.now();
     let is_loop = updates.via.contains(&node.settings.me.member.name);
     let age = updates.age;
     let (freshness, avoids) = {
         let mut fleet = node.fleet.lock();
-        let freshness = fleet.freshness(addr, age, is_loop);
+        let freshness = fleet.freshness(&updates.from.member, age, is_loop);
+        if freshness == Freshness::Disconnected {
+            fleet.on_no_answer(now, sent_at);
+        } else {
+            fleet.on_answer();
+        }
         (freshness, fleet.judge(now, addr, freshness))
     };
     if avoids {
--- a/src/process/fleet/members.rs
+++ b/src/process/fleet/members.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 
 use super::avoided::AvoidReason;
+use super::contact::Contact;
 use super::instance_record::{InstanceRecord, as_gone, precedence};
 use super::parent::ParentChoice;
 use crate::process::cells::MemberState;
@@ -42,6 +43,7 @@
     last_position: Position,
     followers: IndexMap<InstanceName, Follower>,
     pub(super) choice: ParentChoice,
+    pub(super) contact: Contact,
 }
 
 impl Fleet {
@@ -53,6 +55,7 @@
             last_position: Position(0),
             followers: IndexMap::new(),
             choice: ParentChoice::default(),
+            contact: Contact::default(),
         };
         fleet.apply_record(now, me);
         fleet
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -9,13 +9,13 @@
 use crate::process::cells::{Member, MemberState};
 use crate::types::{Incarnation, Position, Span, Timestamp};
 
-const NOW: Timestamp = Timestamp(1_000_000);
+pub(super) const NOW: Timestamp = Timestamp(1_000_000);
 
-fn addr(at: u8) -> SocketAddr {
+pub(super) fn addr(at: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, at], 1))
 }
 
-fn record(at: u8, domain: &str) -> InstanceRecord {
+pub(super) fn record(at: u8, domain: &str) -> InstanceRecord {
     InstanceRecord {
         member: Member {
             name: format!("n{at}").parse().unwrap(),
@@ -36,7 +36,7 @@
     if at <= 3 { "suva-a" } else { "lautoka-a" }
 }
 
-fn fleet(me: u8) -> Fleet {
+pub(super) fn fleet(me: u8) -> Fleet {
     let mut fleet = Fleet::new(NOW, record(me, domain(me)));
     for at in 1..=5 {
         fleet.apply_record(NOW, record(at, domain(at)));
--- a/src/process/fleet/messages.rs
+++ b/src/process/fleet/messages.rs
@@ -41,7 +41,8 @@
     pub(crate) from: InstanceRecord,
     /// The process that sends the updates.
     pub(crate) of: Incarnation,
-    /// How long ago the store confirmed the objects; none if it never did.
+    /// How long ago the store confirmed the objects; none if it never did, or if the sender has lost
+    /// contact with the instances that it follows.
     pub(crate) age: Option<Span>,
     /// The instances that the objects were passed on by, the sender first.
     pub(crate) via: Vec<InstanceName>,
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod apply;
 mod avoided;
 mod chunks;
+mod contact;
 mod delegate;
 mod follow;
 mod instance_record;
@@ -28,6 +29,8 @@
 mod store_reader;
 mod updates;
 
+#[cfg(test)]
+mod cut_off_tests;
 #[cfg(test)]
 mod members_tests;
 #[cfg(test)]
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -14,7 +14,7 @@
 use super::delegate::{DELEGATE_PAUSE, DELEGATE_TIMEOUT};
 use super::instance_record::serving_order;
 use super::{Fleet, InstanceRecord};
-use crate::process::cells::MemberState;
+use crate::process::cells::{Member, MemberState};
 use crate::types::{InstanceName, Span, Timestamp};
 
 /// Updates confirmed longer ago than this are stale: a watch ends within a second.
@@ -46,6 +46,8 @@
     Stale,
     /// They came by way of the instance that asks.
     Loop,
+    /// Their sender has lost contact with the instances that it follows.
+    Disconnected,
 }
 
 /// What an instance remembers for the choice of its parent.
@@ -143,13 +145,9 @@
     }
 
     /// Returns how recent updates are that the store confirmed `age` ago, or that they came by way
-    /// of this instance.
-    pub(crate) fn freshness(
-        &self,
-        addr: SocketAddr,
-        age: Option<Span>,
-        is_loop: bool,
-    ) -> Freshness {
+    /// of this instance. Only an instance that joins, or has lost contact, states no age.
+    pub(crate) fn freshness(&self, sender: &Member, age: Option<Span>, is_loop: bool) -> Freshness {
+        let addr = sender.peer_addr;
         let max_age = if self.is_delegate(addr) {
             STALE_AFTER
         } else {
@@ -159,6 +157,7 @@
         match age {
             _ if is_loop => Freshness::Loop,
             Some(age) if age <= max_age => Freshness::Fresh,
+            None if sender.state != MemberState::Joining => Freshness::Disconnected,
             // An instance that joins knows of no live one if it follows one that joins.
             None if is_joining => Freshness::Fresh,
             _ => Freshness::Stale,
@@ -196,7 +195,7 @@
     }
 
     /// Returns the parent if the store answers.
-    fn first_choice(&self, now: Timestamp) -> Parent {
+    pub(super) fn first_choice(&self, now: Timestamp) -> Parent {
         let me = &self.me().member;
         // A live instance may know others only as they were when they joined.
         let wants_live = me.state == MemberState::Joining;
--- a/src/process/fleet/parent_tests.rs
+++ b/src/process/fleet/parent_tests.rs
@@ -213,8 +213,9 @@
         let mut via = vec![followed];
         via.extend(&self.instances[followed].via);
         let is_loop = via.contains(&at);
+        let sender = self.instances[followed].fleet.me().member.clone();
         let me = &mut self.instances[at];
-        let freshness = me.fleet.freshness(addr, age, is_loop);
+        let freshness = me.fleet.freshness(&sender, age, is_loop);
         me.fleet.judge(now, addr, freshness);
         if is_loop {
             return;
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -35,11 +35,11 @@
 pub(super) const IN_FORCE_WITHIN: Duration = Duration::from_secs(6);
 /// The platform's limit on a value, less the other fields of a configuration.
 const LARGE: ByteCount = ByteCount((1 << 20) - 1_024);
-const SMALL: ByteCount = ByteCount(10);
+pub(super) const SMALL: ByteCount = ByteCount(10);
 
 /// A configuration that is written some time after the one before.
 #[derive(Clone, Copy, Debug)]
-struct Write {
+pub(super) struct Write {
     after: Duration,
     version: u64,
     size: ByteCount,
@@ -51,7 +51,7 @@
     writes: Vec<Write>,
 }
 
-fn write(after_ms: u64, version: u64, size: ByteCount) -> Write {
+pub(super) fn write(after_ms: u64, version: u64, size: ByteCount) -> Write {
     let after = Duration::from_millis(after_ms);
     Write {
         after,
@@ -104,7 +104,7 @@
     });
 }
 
-async fn wait_for_version(node: &Node, version: u64) {
+pub(super) async fn wait_for_version(node: &Node, version: u64) {
     let began = Instant::now();
     while node.catalog().table.version < ConfigVersion(version) {
         let in_force = node.catalog().table.version;
@@ -136,7 +136,7 @@
     true
 }
 
-fn set_config(store: &FakePlatform, write: Write) {
+pub(super) fn set_config(store: &FakePlatform, write: Write) {
     // Like real names and addresses, the filler does not compress to nothing.
     let mut rng = SmallRng::seed_from_u64(write.version);
     let filler: String = (0..write.size.0)
@@ -152,7 +152,18 @@
     seeds: Vec<SocketAddr>,
     store: Arc<FakePlatform>,
 ) -> Arc<Node> {
-    start_node_with(name, peer_addr, seeds, store, Box::new(VersionDecoder))
+    start_in_domain(name, "suva-a", peer_addr, seeds, store)
+}
+
+pub(super) fn start_in_domain(
+    name: &str,
+    domain: &str,
+    peer_addr: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    store: Arc<FakePlatform>,
+) -> Arc<Node> {
+    let me = record(name, domain, peer_addr);
+    start(me, seeds, store, Box::new(VersionDecoder))
 }
 
 pub(super) fn start_node_with(
@@ -162,19 +173,31 @@
     store: Arc<FakePlatform>,
     decoder: Box<dyn ObjectDecoder>,
 ) -> Arc<Node> {
-    let me = InstanceRecord {
+    start(record(name, "suva-a", peer_addr), seeds, store, decoder)
+}
+
+fn record(name: &str, domain: &str, peer_addr: SocketAddr) -> InstanceRecord {
+    InstanceRecord {
         member: Member {
             name: name.parse().unwrap(),
             incarnation: Incarnation(1),
             addr: peer_addr,
             peer_addr,
-            failure_domain: "suva-a".parse().unwrap(),
+            failure_domain: domain.parse().unwrap(),
             region: "central".parse().unwrap(),
             state: MemberState::Joining,
         },
         seq: 1,
         capacity: 250,
-    };
+    }
+}
+
+fn start(
+    me: InstanceRecord,
+    seeds: Vec<SocketAddr>,
+    store: Arc<FakePlatform>,
+    decoder: Box<dyn ObjectDecoder>,
+) -> Arc<Node> {
     let settings = NodeSettings {
         me,
         seeds,
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -72,16 +72,17 @@
         chunks: &[ChunkId],
     ) -> Updates {
         let now = self.clock.now();
-        let (from, (members, members_to)) = {
+        let (from, (members, members_to), has_lost_contact) = {
             let fleet = self.fleet.lock();
-            (fleet.me().clone(), fleet.since(members))
+            let members = fleet.since(members);
+            (fleet.me().clone(), members, fleet.has_lost_contact(now))
         };
         let poison = self.engine.tables.suspects.lock().poison_requests(now);
         let silent = self.silence.lock().agreed(now);
         let (age, changes, chunks) = {
             let object_cache = self.object_cache.lock();
             (
-                object_cache.age(now),
+                object_cache.age(now).filter(|_| !has_lost_contact),
                 object_cache.since(objects, MAX_OBJECT_BYTES),
                 object_cache.requested_chunks(chunks, MAX_OBJECT_BYTES),
             )
--- a/src/process/member_metrics.rs
+++ b/src/process/member_metrics.rs
@@ -16,6 +16,8 @@
     Stale,
     /// The updates had passed through this instance before.
     Loop,
+    /// Their sender has lost contact with the instances that it follows.
+    Disconnected,
     /// No complete reply came.
     Failed,
 }
@@ -26,6 +28,7 @@
             Freshness::Fresh => Self::Applied,
             Freshness::Stale => Self::Stale,
             Freshness::Loop => Self::Loop,
+            Freshness::Disconnected => Self::Disconnected,
         }
     }
 }
@@ -36,6 +39,7 @@
             Self::Applied => "applied",
             Self::Stale => "stale",
             Self::Loop => "loop",
+            Self::Disconnected => "disconnected",
             Self::Failed => "failed",
         }
     }
