Let an instance that nobody answers act as the reader

An instance asks those that it may follow one after the other, each for 0.9 s, and avoids each for 3 s. With more than three silent ones the first comes into question again before the last was asked, and the store never does.

Now an instance without an answer for 1.4 s acts as the reader: it reads the store, and where the store does not answer it, it has a delegate read it, as the reader does. A request that is under way at that moment is given up, without calling the other instance gone. It goes on so for 3 s after its first answer, since it would otherwise lose 1.4 s at each return to those that are silent.

--- a/src/process/fleet/contact.rs
+++ b/src/process/fleet/contact.rs
@@ -2,14 +2,20 @@
 //!
 //! The age of updates does not tell an outage of the store, in which nobody has newer ones, from a
 //! parent that is cut off from the rest of the fleet. In an outage the parent still has answers from
-//! its own parent; one that is cut off has none, and says so to its followers. See `docs/DESIGN.md`,
-//! "Who reads the store".
+//! its own parent. One that is cut off has none: it does what the reader does, and if that does not
+//! help, it says so to its followers. See `docs/DESIGN.md`, "Who reads the store".
 
+use super::follow::ANSWER_TIMEOUT;
 use super::{Fleet, Parent};
 use crate::types::{Span, Timestamp};
 
-/// How long an instance may go without an answer until it has lost contact: two instances, one after
-/// the other, may fail to answer.
+/// How long an instance goes without an answer until it acts as the reader instead of asking one
+/// silent instance after the other.
+const DETACH_AFTER: Span = Span::from_millis(1_400);
+/// How long an instance acts as the reader at least after it had an answer again.
+const DETACHED_FOR: Span = Span::from_secs(3);
+/// How long an instance goes without an answer until it has lost contact: by then the store, or a
+/// delegate, would have answered.
 const LOST_AFTER: Span = Span::from_millis(1_800);
 
 /// The contact of this instance with those that it follows.
@@ -17,11 +23,16 @@
 pub(super) struct Contact {
     /// When the first of the requests was sent that have had no answer since.
     unanswered_since: Option<Timestamp>,
+    /// Until when this instance acts as the reader although it had an answer again.
+    detached_until: Timestamp,
 }
 
 impl Fleet {
-    /// Records an answer of an instance that this one follows.
-    pub(crate) fn on_answer(&mut self) {
+    /// Records an answer of an instance that this one follows, or of the store.
+    pub(crate) fn on_answer(&mut self, now: Timestamp) {
+        if self.is_detached(now) && self.contact.unanswered_since.is_some() {
+            self.contact.detached_until = now + DETACHED_FOR;
+        }
         self.contact.unanswered_since = None;
     }
 
@@ -33,6 +44,26 @@
         }
     }
 
+    /// Whether this instance acts as the reader, because those that it follows do not answer.
+    pub(crate) fn is_detached(&self, now: Timestamp) -> bool {
+        let since = self.contact.unanswered_since;
+        let is_silent = since.is_some_and(|since| now.since(since) >= DETACH_AFTER);
+        is_silent || now < self.contact.detached_until
+    }
+
+    /// Returns how long to wait for an answer: while others are silent too, not beyond the moment
+    /// at which this instance acts as the reader.
+    pub(crate) fn answer_timeout(&self, now: Timestamp) -> Span {
+        let since = self.contact.unanswered_since;
+        let silent_for = since.map(|since| now.since(since));
+        match silent_for {
+            Some(silent_for) if silent_for < DETACH_AFTER => {
+                ANSWER_TIMEOUT.min(Span(DETACH_AFTER.0 - silent_for.0))
+            }
+            _ => ANSWER_TIMEOUT,
+        }
+    }
+
     /// Whether this instance no longer knows what the others know. Its updates then age although
     /// others may have newer ones, so its followers have to leave it.
     pub(crate) fn has_lost_contact(&self, now: Timestamp) -> bool {
--- a/src/process/fleet/contact_tests.rs
+++ b/src/process/fleet/contact_tests.rs
@@ -36,7 +36,7 @@
     for event in case.events {
         match event {
             Event::NoAnswer(ms) => fleet.on_no_answer(at(*ms), at(*ms)),
-            Event::Answer => fleet.on_answer(),
+            Event::Answer => fleet.on_answer(NOW),
         }
     }
     assert_eq!(fleet.has_lost_contact(at(case.at_ms)), case.lost);
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -9,12 +9,13 @@
 use rand::seq::IndexedRandom;
 
 use super::{FollowReason, FollowRequest, Freshness, Node, Parent, Updates};
+use crate::connection::PeerError;
 use crate::process::member_metrics::UpdateOutcome;
 use crate::process::{PeerRequest, PeerResponse};
 use crate::types::{Incarnation, Position, Span, Timestamp};
 
 /// An instance that does not answer within this time is unresponsive.
-const ANSWER_TIMEOUT: Span = Span::from_millis(900);
+pub(super) const ANSWER_TIMEOUT: Span = Span::from_millis(900);
 /// Timeout of a probe: regions are some tens of milliseconds apart, and proving a key takes
 /// three round trips.
 const PROBE_TIMEOUT: Span = Span::from_millis(300);
@@ -55,6 +56,7 @@
     // Kept for each instance, so that a parent that is followed again sends only changes.
     let mut progress_by_addr: IndexMap<SocketAddr, Progress> = IndexMap::new();
     let mut followed = None;
+    let mut was_detached = false;
     loop {
         let now = node.clock.now();
         let age = node.object_cache.lock().age(now);
@@ -66,7 +68,21 @@
         node.drop_lapsed();
         node.divide_limits();
         node.detect_silent_replicas();
-        let parent = node.fleet.lock().parent(node.clock.now());
+        let now = node.clock.now();
+        let (parent, is_detached, max_wait) = {
+            let fleet = node.fleet.lock();
+            (
+                fleet.parent(now),
+                fleet.is_detached(now),
+                fleet.answer_timeout(now),
+            )
+        };
+        if is_detached && !was_detached {
+            tracing::warn!(
+                "the instances that this one follows do not answer; it reads the store itself"
+            );
+        }
+        was_detached = is_detached;
         let Parent::Instance(addr) = parent else {
             followed = None;
             sleep(PARENT_CHECK_INTERVAL.as_duration()).await;
@@ -77,7 +93,7 @@
             followed = Some(addr);
         }
         let progress = progress_by_addr.get(&addr).copied().unwrap_or_default();
-        match request_updates(&node, addr, FollowReason::Follows, progress, ANSWER_TIMEOUT).await {
+        match request_updates(&node, addr, FollowReason::Follows, progress, max_wait).await {
             Some(after) => {
                 progress_by_addr.insert(addr, after);
             }
@@ -147,15 +163,16 @@
                 .members
                 .updated(UpdateOutcome::Failed, 0);
             let now = node.clock.now();
-            {
-                let mut fleet = node.fleet.lock();
-                if reason == FollowReason::Follows {
-                    // A process that was paused knows nothing of the time before.
-                    fleet.on_no_answer(now, sent_at.max(now - ANSWER_TIMEOUT));
-                }
-                fleet.mark_unresponsive(now, addr);
+            if reason == FollowReason::Follows {
+                // A process that was paused knows nothing of the time before.
+                let silent_since = sent_at.max(now - ANSWER_TIMEOUT);
+                node.fleet.lock().on_no_answer(now, silent_since);
+            }
+            let is_cut_short = reason == FollowReason::Follows && max_wait < ANSWER_TIMEOUT;
+            if !(is_cut_short && matches!(error, PeerError::Timeout(_))) {
+                node.fleet.lock().mark_unresponsive(now, addr);
+                node.notify_waiters();
             }
-            node.notify_waiters();
             None
         }
     }
@@ -200,7 +217,7 @@
         if freshness == Freshness::Disconnected {
             fleet.on_no_answer(now, sent_at);
         } else {
-            fleet.on_answer();
+            fleet.on_answer(now);
         }
         (freshness, fleet.judge(now, addr, freshness))
     };
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -91,7 +91,7 @@
             Fault::Unresponsive(at) => fleet.mark_unresponsive(now, addr(*at)),
             Fault::StaleUpdates(at) => drop(fleet.judge(now, addr(*at), Freshness::Stale)),
             Fault::StoreFails => fleet.on_store_failure(now, Span::from_secs(1)),
-            Fault::StoreAnswers => fleet.on_store_success(),
+            Fault::StoreAnswers => fleet.on_store_success(now),
             Fault::Delegated => fleet.on_followed(now, &"n1".parse().unwrap(), true),
             Fault::TimePasses => now = now + Span::from_secs(2),
         }
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -131,9 +131,10 @@
     }
 
     /// Records that the store answered a call.
-    pub(crate) fn on_store_success(&mut self) {
+    pub(crate) fn on_store_success(&mut self, now: Timestamp) {
         self.choice.store_failing = false;
         self.choice.delegate = None;
+        self.on_answer(now);
     }
 
     /// Turns to a delegate if the reader's own objects are stale, although no call failed yet.
@@ -196,6 +197,9 @@
 
     /// Returns the parent if the store answers.
     pub(super) fn first_choice(&self, now: Timestamp) -> Parent {
+        if self.is_detached(now) {
+            return Parent::Store;
+        }
         let me = &self.me().member;
         // A live instance may know others only as they were when they joined.
         let wants_live = me.state == MemberState::Joining;
--- a/src/process/fleet/parent_tests.rs
+++ b/src/process/fleet/parent_tests.rs
@@ -8,8 +8,9 @@
 
 use rstest::rstest;
 
+use super::super::follow::ANSWER_TIMEOUT;
 use super::super::{Fleet, InstanceRecord};
-use super::Parent;
+use super::{Freshness, Parent};
 use crate::process::cells::{Member, MemberState};
 use crate::types::{Incarnation, Span, Timestamp};
 
@@ -20,6 +21,8 @@
 const STEP: Span = Span::from_millis(100);
 /// The instances and the store are undisturbed until then.
 const CALM: Span = Span::from_secs(3);
+/// Instances of two failure domains that are cut off.
+const FIRST_OF_SECOND: usize = INSTANCES / DOMAINS;
 /// How long an answer waits for updates.
 const UPDATES_WAIT: Span = Span::from_millis(400);
 const WATCH_WAIT: Span = Span::from_secs(1);
@@ -41,6 +44,10 @@
     WithoutThird,
     /// All but the failure domain of the reader.
     WithoutDomain,
+    /// All but this one, which is also cut off from all other failure domains.
+    CutOff(usize),
+    /// None, but one instance is cut off from all others.
+    Alone(usize),
 }
 
 impl Disturbance {
@@ -49,9 +56,24 @@
             Self::Away => false,
             Self::WithoutReader => at != 0,
             Self::WithoutThird => !at.is_multiple_of(3),
-            Self::WithoutDomain => at / (INSTANCES / DOMAINS) != 0,
+            Self::WithoutDomain => domain(at) != 0,
+            Self::CutOff(cut_off) => at != cut_off,
+            Self::Alone(_) => true,
         }
     }
+
+    fn connects(self, one: usize, other: usize) -> bool {
+        match self {
+            Self::CutOff(at) => (one != at && other != at) || domain(one) == domain(other),
+            Self::Alone(at) => one != at && other != at,
+            Self::Away | Self::WithoutReader | Self::WithoutThird | Self::WithoutDomain => true,
+        }
+    }
+
+    /// Whether this instance can have fresh updates.
+    fn is_in_touch(self, at: usize) -> bool {
+        !matches!(self, Self::CutOff(cut_off) if cut_off == at)
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -71,6 +93,8 @@
     via: Vec<usize>,
     parent: Option<Parent>,
     next_request: Timestamp,
+    /// When the request that has no answer was sent, and when the instance gives it up.
+    unanswered: Option<(SocketAddr, Timestamp, Timestamp)>,
     next_call: Timestamp,
 }
 
@@ -94,8 +118,12 @@
     ))
 }
 
+fn domain(at: usize) -> usize {
+    at / (INSTANCES / DOMAINS)
+}
+
 fn record(at: usize, state: MemberState) -> InstanceRecord {
-    let domain = at / (INSTANCES / DOMAINS);
+    let domain = domain(at);
     InstanceRecord {
         member: Member {
             name: format!("front-{domain}-{at}").parse().unwrap(),
@@ -133,6 +161,7 @@
                 via: Vec::new(),
                 parent: None,
                 next_request: Timestamp(0),
+                unanswered: None,
                 next_call: Timestamp(0),
             }
         };
@@ -171,6 +200,16 @@
             self.call_store(at);
         }
         let me = &mut self.instances[at];
+        if let Some((addr, sent, until)) = me.unanswered {
+            if now < until {
+                return;
+            }
+            me.unanswered = None;
+            me.fleet.on_no_answer(now, sent);
+            if now.since(sent) >= ANSWER_TIMEOUT {
+                me.fleet.mark_unresponsive(now, addr);
+            }
+        }
         let parent = me.fleet.parent(now);
         if me.parent != Some(parent) {
             self.switches += usize::from(me.parent.is_some());
@@ -188,13 +227,13 @@
     fn call_store(&mut self, at: usize) {
         let now = self.now;
         self.calls += 1;
-        let is_disturbed = now >= self.begin() && now < self.end();
+        let is_disturbed = self.is_disturbed();
         let me = &mut self.instances[at];
         if is_disturbed && !self.case.disturbance.reaches(at) {
             me.fleet.on_store_failure(now, RETRY_PAUSE);
             return;
         }
-        me.fleet.on_store_success();
+        me.fleet.on_store_success(now);
         me.next_call = now + WATCH_WAIT;
         me.via.clear();
         self.confirm(at, now);
@@ -205,17 +244,30 @@
         let followed = (0..INSTANCES)
             .find(|other| self::addr(*other) == addr)
             .unwrap();
-        let name = self.instances[at].fleet.me().member.name.clone();
+        if self.is_disturbed() && !self.case.disturbance.connects(at, followed) {
+            let me = &mut self.instances[at];
+            me.unanswered = Some((addr, now, now + me.fleet.answer_timeout(now)));
+            return;
+        }
+        let from = self.instances[at].fleet.me().clone();
         let is_followed_itself = self.instances[followed].via.contains(&at);
         let other = &mut self.instances[followed];
-        other.fleet.on_followed(now, &name, is_followed_itself);
-        let age = self.age(followed);
+        let name = &from.member.name;
+        other.fleet.on_followed(now, name, is_followed_itself);
+        other.fleet.on_follower(now, from);
+        let lost_contact = other.fleet.has_lost_contact(now);
+        let age = self.age(followed).filter(|_| !lost_contact);
         let mut via = vec![followed];
         via.extend(&self.instances[followed].via);
         let is_loop = via.contains(&at);
         let sender = self.instances[followed].fleet.me().member.clone();
         let me = &mut self.instances[at];
         let freshness = me.fleet.freshness(&sender, age, is_loop);
+        if freshness == Freshness::Disconnected {
+            me.fleet.on_no_answer(now, now);
+        } else {
+            me.fleet.on_answer(now);
+        }
         me.fleet.judge(now, addr, freshness);
         if is_loop {
             return;
@@ -243,9 +295,17 @@
         Some(self.now.since(confirmed_at))
     }
 
-    /// Returns how many instances have updates that are older than in calm times.
+    fn is_disturbed(&self) -> bool {
+        self.now >= self.begin() && self.now < self.end()
+    }
+
+    /// Returns how many instances have updates that are older than in calm times, of those that
+    /// could have newer ones.
     fn stale(&self) -> usize {
-        let is_stale = |at: &usize| self.age(*at).is_none_or(|age| age > MAX_AGE);
+        let is_stale = |at: &usize| {
+            let is_in_touch = self.case.disturbance.is_in_touch(*at);
+            is_in_touch && self.age(*at).is_none_or(|age| age > MAX_AGE)
+        };
         (0..INSTANCES).filter(is_stale).count()
     }
 }
@@ -275,6 +335,14 @@
     disturbance: Disturbance::WithoutDomain, lasts: Span::from_secs(9), cold: false,
     fresh_within: Span::from_secs(4),
 })]
+#[case::the_first_of_a_domain_is_cut_off(Case {
+    disturbance: Disturbance::CutOff(FIRST_OF_SECOND), lasts: Span::from_secs(9), cold: false,
+    fresh_within: Span::from_secs(3),
+})]
+#[case::all_others_are_silent(Case {
+    disturbance: Disturbance::Alone(INSTANCES - 1), lasts: Span::from_secs(9), cold: false,
+    fresh_within: Span::from_secs(3),
+})]
 fn a_fleet_keeps_its_shape_while_the_store_does_not_answer(#[case] case: Case) {
     let mut model = Model::new(case);
     let wait_from = match case.disturbance {
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -113,8 +113,9 @@
 
     fn on_success(&mut self) {
         self.backoff.reset();
-        self.node.fleet.lock().on_store_success();
-        if self.outage.end(self.node.clock.now()) {
+        let now = self.node.clock.now();
+        self.node.fleet.lock().on_store_success(now);
+        if self.outage.end(now) {
             tracing::info!(prefix = self.prefix, "the store answers again");
         }
     }
