Drop replicas at once that left while a parent was cut off

Cause: an instance that begins to read the store in the place of another, and has objects that nobody confirmed for two seconds, takes missing entries for lapsed with an outage and keeps them for 2.2 s. So far only the reader asked for that. Now an instance that passes on updates asks as well, because it is cut off, with updates of 2.5 s. In the log: "the store answers again" at 14.28 s, which was never away, and "no new legs go to a replica" at 16.55 s for one that left at 13.55 s.

An instance now tells by the way of its updates whether the other is the reader, the last one on it, or passes them on. Only in the reader's place it has to assume an outage that it did not see. If the store is away as well, its own first call fails and says so.

Evidence: a_delegate_takes_missing_entries_for_lapsed, case in_the_place_of_one_that_is_cut_off, fails where any delegate assumes an outage (left Lapsed, right Gone).

--- a/src/process/fleet/delegate.rs
+++ b/src/process/fleet/delegate.rs
@@ -19,35 +19,83 @@
 /// A delegate reads the store until this long after the reader's last request.
 const DELEGATED_FOR: Span = Span::from_millis(1_500);
 
+/// The part that another instance has in the way by which this one gets its updates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpdateRole {
+    /// It reads the store for this instance.
+    Reader,
+    /// It passes on what it gets from another one.
+    Relay,
+    /// None.
+    Uninvolved,
+}
+
+impl UpdateRole {
+    /// Returns the part of an instance among those that the updates were passed on by, the parent
+    /// first and the reader last.
+    pub(super) fn of<T: PartialEq>(name: &T, via: &[T]) -> Self {
+        if via.last() == Some(name) {
+            Self::Reader
+        } else if via.contains(name) {
+            Self::Relay
+        } else {
+            Self::Uninvolved
+        }
+    }
+}
+
+/// The instance in whose place this one reads the store.
+#[derive(Clone, Debug)]
+pub(super) struct Delegation {
+    by: InstanceName,
+    role: UpdateRole,
+    until: Timestamp,
+}
+
 impl ParentChoice {
     pub(super) fn is_delegated(&self, now: Timestamp) -> bool {
-        self.delegated_by
-            .as_ref()
-            .is_some_and(|(_, until)| now < *until)
+        self.delegation(now).is_some()
+    }
+
+    /// Whether this instance reads the store in place of one that read it until now. One that passes
+    /// on updates asks because it is cut off, whether or not the store is away.
+    pub(super) fn replaces_reader(&self, now: Timestamp) -> bool {
+        let delegation = self.delegation(now);
+        delegation.is_some_and(|delegation| delegation.role == UpdateRole::Reader)
+    }
+
+    fn delegation(&self, now: Timestamp) -> Option<&Delegation> {
+        let delegation = self.delegated_by.as_ref();
+        delegation.filter(|delegation| now < delegation.until)
     }
 }
 
 impl Fleet {
-    /// Records that `reader` follows this instance. If this one gets its own updates by way of the
-    /// reader, the reader does not reach the store, and this one reads it in its place for as long
-    /// as the reader follows it.
+    /// Records that another instance follows this one. If this one gets its own updates by way of the
+    /// other, the other does not reach the store, and this one reads it in its place for as long as the
+    /// other follows it.
     pub(crate) fn on_followed(
         &mut self,
         now: Timestamp,
-        reader: &InstanceName,
-        is_followed_itself: bool,
+        follower: &InstanceName,
+        role: UpdateRole,
     ) {
-        let delegated_by = self.choice.delegated_by.as_ref();
-        let is_renewal = delegated_by.is_some_and(|(by, until)| by == reader && now < *until);
+        let until = now + DELEGATED_FOR;
+        let delegation = self.choice.delegation(now);
+        let renewed = delegation.filter(|delegation| delegation.by == *follower);
+        let is_renewal = renewed.is_some();
+        // This instance has read the store since, so the role that the other has now says nothing.
+        let role = renewed.map_or(role, |delegation| delegation.role);
         let may_read = now >= self.choice.store_avoided_until;
-        if !(is_renewal || is_followed_itself && may_read) {
+        if !is_renewal && (role == UpdateRole::Uninvolved || !may_read) {
             return;
         }
         if !is_renewal {
             self.choice.store_failing = false;
             self.publish(now);
         }
-        self.choice.delegated_by = Some((reader.clone(), now + DELEGATED_FOR));
+        let by = follower.clone();
+        self.choice.delegated_by = Some(Delegation { by, role, until });
     }
 
     /// Returns the instances that may read the store in place of this one. Those that this instance
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 
+use super::delegate::UpdateRole;
 use super::{Fleet, Freshness, InstanceRecord, Parent};
 use crate::process::cells::{Member, MemberState};
 use crate::types::{Incarnation, Position, Span, Timestamp};
@@ -92,7 +93,7 @@
             Fault::StaleUpdates(at) => drop(fleet.judge(now, addr(*at), Freshness::Stale)),
             Fault::StoreFails => fleet.on_store_failure(now, Span::from_secs(1)),
             Fault::StoreAnswers => fleet.on_store_success(now),
-            Fault::Delegated => fleet.on_followed(now, &"n1".parse().unwrap(), true),
+            Fault::Delegated => fleet.on_followed(now, &"n1".parse().unwrap(), UpdateRole::Reader),
             Fault::TimePasses => now = now + Span::from_secs(2),
         }
     }
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -11,11 +11,11 @@
 
 use super::addresses;
 use super::avoided::{AvoidReason, AvoidedInstances};
-use super::delegate::{DELEGATE_PAUSE, DELEGATE_TIMEOUT};
+use super::delegate::{DELEGATE_PAUSE, DELEGATE_TIMEOUT, Delegation};
 use super::instance_record::serving_order;
 use super::{Fleet, InstanceRecord};
 use crate::process::cells::{Member, MemberState};
-use crate::types::{InstanceName, Span, Timestamp};
+use crate::types::{Span, Timestamp};
 
 /// Updates confirmed longer ago than this are stale: a watch ends within a second.
 const STALE_AFTER: Span = Span::from_millis(1_400);
@@ -62,8 +62,8 @@
     pub(super) delegate: Option<(SocketAddr, Timestamp)>,
     /// Until when this instance reads the store while it joins.
     joins_by_store_until: Timestamp,
-    /// The reader in whose place this instance reads the store, and until when.
-    pub(super) delegated_by: Option<(InstanceName, Timestamp)>,
+    /// The instance in whose place this one reads the store.
+    pub(super) delegated_by: Option<Delegation>,
 }
 
 impl Fleet {
--- a/src/process/fleet/parent_tests.rs
+++ b/src/process/fleet/parent_tests.rs
@@ -8,6 +8,7 @@
 
 use rstest::rstest;
 
+use super::super::delegate::UpdateRole;
 use super::super::follow::ANSWER_TIMEOUT;
 use super::super::{Fleet, InstanceRecord};
 use super::{Freshness, Parent};
@@ -250,10 +251,10 @@
             return;
         }
         let from = self.instances[at].fleet.me().clone();
-        let is_followed_itself = self.instances[followed].via.contains(&at);
+        let role = UpdateRole::of(&at, &self.instances[followed].via);
         let other = &mut self.instances[followed];
         let name = &from.member.name;
-        other.fleet.on_followed(now, name, is_followed_itself);
+        other.fleet.on_followed(now, name, role);
         other.fleet.on_follower(now, from);
         let lost_contact = other.fleet.has_lost_contact(now);
         let age = self.age(followed).filter(|_| !lost_contact);
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -101,12 +101,12 @@
         Ok(())
     }
 
-    /// An instance that reads in the place of another has not seen an outage itself.
+    /// An instance that reads in the place of the reader has not seen an outage itself.
     fn begin_to_read(&mut self) {
         let now = self.node.clock.now();
         let age = self.node.object_cache.lock().age(now);
-        let is_delegate = self.node.fleet.lock().choice.is_delegated(now);
-        if is_delegate && age.is_none_or(|age| age >= MIN_LAPSING_OUTAGE) {
+        let replaces_reader = self.node.fleet.lock().choice.replaces_reader(now);
+        if replaces_reader && age.is_none_or(|age| age >= MIN_LAPSING_OUTAGE) {
             self.outage.begin();
         }
     }
--- a/src/process/fleet/store_reader_tests.rs
+++ b/src/process/fleet/store_reader_tests.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use super::{PrefixReader, batches, entries_of_listing, entry_of, present_entry};
+use crate::process::fleet::delegate::UpdateRole;
 use crate::process::fleet::slow_link_tests::start_node_with;
 use crate::process::fleet::{DecodedObject, EntryState, ObjectCache, ObjectDecoder};
 use crate::process::platform::fake::FakePlatform;
@@ -168,16 +169,18 @@
 }
 
 struct TakeoverCase {
-    /// Whether the instance reads the store in the place of one that does not reach it.
-    is_delegate: bool,
+    /// The part of the instance in whose place this one reads the store.
+    asked_by: Option<UpdateRole>,
     wanted: EntryState,
 }
 
 /// Guards against replicas that an instance drops at once when it begins to read the store in an
-/// outage that it has not seen itself, since their entries lapsed.
+/// outage that it has not seen itself, since their entries lapsed; and against replicas that get
+/// requests for seconds after they left, because an instance on the way to the reader was cut off.
 #[rstest]
-#[case::in_the_place_of_another(TakeoverCase { is_delegate: true, wanted: EntryState::Lapsed })]
-#[case::by_itself(TakeoverCase { is_delegate: false, wanted: EntryState::Gone })]
+#[case::in_the_place_of_the_reader(TakeoverCase { asked_by: Some(UpdateRole::Reader), wanted: EntryState::Lapsed })]
+#[case::in_the_place_of_one_that_is_cut_off(TakeoverCase { asked_by: Some(UpdateRole::Relay), wanted: EntryState::Gone })]
+#[case::by_itself(TakeoverCase { asked_by: None, wanted: EntryState::Gone })]
 fn a_delegate_takes_missing_entries_for_lapsed(#[case] case: TakeoverCase) {
     block_on(async {
         let store = Arc::new(FakePlatform::default());
@@ -188,9 +191,9 @@
         // Learned from another instance, so that the store has not confirmed it here.
         node.apply_entries(vec![present_entry(object(version.0))]);
         store.remove("servers/a");
-        if case.is_delegate {
-            let (now, reader) = (node.clock.now(), "other".parse().unwrap());
-            node.fleet.lock().on_followed(now, &reader, true);
+        if let Some(role) = case.asked_by {
+            let (now, other) = (node.clock.now(), "other".parse().unwrap());
+            node.fleet.lock().on_followed(now, &other, role);
         }
         PrefixReader::new(&node, "servers").read().await.unwrap();
         let changes = node
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -2,6 +2,7 @@
 
 use async_std::future::timeout;
 
+use super::delegate::UpdateRole;
 use super::{FollowReason, FollowRequest, Node, Updates, follow};
 use crate::types::{ChunkId, Incarnation, Position, Span};
 
@@ -17,14 +18,14 @@
     pub(crate) async fn answer_follow(&self, follow: FollowRequest) -> Updates {
         let now = self.clock.now();
         let me = self.settings.me.member.incarnation;
-        let is_followed_itself = self.via.lock().contains(&follow.from.member.name);
+        let role = UpdateRole::of(&follow.from.member.name, &self.via.lock());
         let learned = {
             let mut fleet = self.fleet.lock();
             let before = fleet.last_position();
             match follow.reason {
                 FollowReason::Follows => {
                     let name = &follow.from.member.name;
-                    fleet.on_followed(now, name, is_followed_itself);
+                    fleet.on_followed(now, name, role);
                     fleet.on_follower(now, follow.from);
                 }
                 FollowReason::Joins | FollowReason::Looks => fleet.on_contact(now, follow.from),
