Leave a cut-off parent if the store cannot be read in its place

An instance whose parent is cut off, and that the store refuses, keeps the old configuration although others would pass on the new one.

The cut-off parent asks it to read the store, and takes its answers for contact, so it goes on to state an age; a delegate that fails stays where it is, as is right in an outage of the store.

A delegate that was asked by an instance on the way to the reader, and not by the reader, knows that its parent is cut off. If its own call to the store fails, it avoids that parent and follows the next one.

Tests: cut_off_tests, case a_first_whose_follower_does_not_reach_the_store, failed before ("version 1 in force instead of 2"). Case a_first_that_cannot_ask_its_followers guards the age that is not stated: it fails without that, as the new ways of a cut-off instance hide it in the other cases.

--- a/src/process/fleet/cut_off_tests.rs
+++ b/src/process/fleet/cut_off_tests.rs
@@ -28,26 +28,53 @@
     ("d", &["d-1"]),
 ];
 
+/// From whom instances are cut off, besides the store.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Cut {
+    /// From the instances of other domains.
+    OtherDomains,
+    /// The same, and their requests reach nobody in their own domain either.
+    AllRequests,
+}
+
 struct Case {
-    /// The instances that are cut off from the store and from the other domains.
+    cut: Cut,
     cut_off: &'static [&'static str],
+    /// Instances that are not cut off, but that the store refuses.
+    refused: &'static [&'static str],
     /// Instances that are not, and the ones that they follow before.
     follows: &'static [(&'static str, &'static str)],
 }
 
 #[rstest]
-#[case::the_first_of_a_domain(Case { cut_off: &["b-1"], follows: &[("b-2", "b-1"), ("c-1", "a-1")] })]
-#[case::the_reader(Case { cut_off: &["a-1"], follows: &[("a-2", "a-1"), ("b-1", "a-1")] })]
+#[case::the_first_of_a_domain(Case {
+    cut: Cut::OtherDomains, cut_off: &["b-1"], refused: &[],
+    follows: &[("b-2", "b-1"), ("c-1", "a-1")],
+})]
+#[case::a_first_that_cannot_ask_its_followers(Case {
+    cut: Cut::AllRequests, cut_off: &["b-1"], refused: &[],
+    follows: &[("b-2", "b-1"), ("c-1", "a-1")],
+})]
+#[case::a_first_whose_follower_does_not_reach_the_store(Case {
+    cut: Cut::OtherDomains, cut_off: &["b-1"], refused: &["b-2"],
+    follows: &[("b-2", "b-1"), ("c-1", "a-1")],
+})]
+#[case::the_reader(Case {
+    cut: Cut::OtherDomains, cut_off: &["a-1"], refused: &[],
+    follows: &[("a-2", "a-1"), ("b-1", "a-1")],
+})]
 #[case::all_but_one(Case {
+    cut: Cut::OtherDomains,
     cut_off: &["a-1", "a-2", "a-3", "a-4", "b-1", "b-2", "c-1", "c-2", "c-3", "c-4"],
+    refused: &[],
     follows: &[("b-2", "b-1"), ("d-1", "a-1")],
 })]
-fn an_instance_that_reaches_the_store_has_its_configuration(#[case] case: Case) {
+fn an_instance_that_is_not_cut_off_has_the_configuration(#[case] case: Case) {
     block_on(async {
         let is_cut = Arc::new(AtomicBool::new(false));
         let store = Arc::new(FakePlatform::default());
-        let store_of_cut = Arc::new(FakePlatform::default());
-        for store in [&store, &store_of_cut] {
+        let failing_store = Arc::new(FakePlatform::default());
+        for store in [&store, &failing_store] {
             set_config(store, write(0, 1, SMALL));
         }
         let mut nodes: Vec<Arc<Node>> = Vec::new();
@@ -60,14 +87,19 @@
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let target = listener.local_addr().unwrap();
             let openers = all.iter().map(|(other_domain, other)| {
-                let any_cut_off = is_cut_off(name) || is_cut_off(other);
-                (*other, any_cut_off && other_domain != domain)
+                let is_between_domains = other_domain != domain;
+                let is_apart = match (is_cut_off(name), is_cut_off(other)) {
+                    (_, true) => is_between_domains || case.cut == Cut::AllRequests,
+                    (true, false) => is_between_domains,
+                    (false, false) => false,
+                };
+                (*other, is_apart)
             });
             let place = u8::try_from(nodes.len() + 2).unwrap();
             let addr = link(place, target, openers.collect(), Arc::clone(&is_cut)).await;
             let seeds = nodes.iter().map(|node| node.settings.me.member.peer_addr);
-            let own_store = if is_cut_off(name) {
-                &store_of_cut
+            let own_store = if is_cut_off(name) || case.refused.contains(name) {
+                &failing_store
             } else {
                 &store
             };
@@ -80,7 +112,7 @@
             wait_until_it_follows(&nodes, name, followed).await;
         }
         is_cut.store(true, Ordering::Relaxed);
-        store_of_cut.faults(|faults| faults.down = true);
+        failing_store.faults(|faults| faults.down = true);
         sleep(Duration::from_millis(50)).await;
         set_config(&store, write(0, 2, SMALL));
         let in_touch = nodes.iter().filter(|node| !is_cut_off(&name_of(node)));
--- a/src/process/fleet/delegate.rs
+++ b/src/process/fleet/delegate.rs
@@ -9,6 +9,7 @@
 use indexmap::IndexSet;
 
 use super::Fleet;
+use super::avoided::AvoidReason;
 use super::parent::ParentChoice;
 use crate::types::{Fingerprint, InstanceName, Span, Timestamp};
 
@@ -98,6 +99,20 @@
         self.choice.delegated_by = Some(Delegation { by, role, until });
     }
 
+    /// Avoids the instance in whose place this one cannot read the store, if it is cut off: others may
+    /// still have newer updates than it has.
+    pub(super) fn leave_cut_off_parent(&mut self, now: Timestamp) {
+        let delegation = self.choice.delegation(now);
+        let Some(relay) = delegation.filter(|delegation| delegation.role == UpdateRole::Relay)
+        else {
+            return;
+        };
+        let parent = self.present().find(|record| record.member.name == relay.by);
+        if let Some(addr) = parent.map(|record| record.member.peer_addr) {
+            self.choice.avoided.insert(now, addr, AvoidReason::Stale);
+        }
+    }
+
     /// Returns the instances that may read the store in place of this one. Those that this instance
     /// has just heard from come first, since it may be cut off from the others. Its own failure
     /// domain and the other ones take turns, since either may be cut off from the store as a whole.
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -123,8 +123,12 @@
 
     /// Records that a call to the store failed; the next one is made after `pause`.
     pub(crate) fn on_store_failure(&mut self, now: Timestamp, pause: Span) {
-        let was_delegated = self.choice.is_delegated(now);
-        let pause = if was_delegated { DELEGATE_PAUSE } else { pause };
+        let pause = if self.choice.is_delegated(now) {
+            self.leave_cut_off_parent(now);
+            DELEGATE_PAUSE
+        } else {
+            pause
+        };
         self.choice.store_failing = true;
         self.choice.store_avoided_until = now + pause;
         self.choice.delegated_by = None;
