--- a/src/process/fleet/contact.rs
+++ b/src/process/fleet/contact.rs
@@ -12,7 +12,8 @@
 /// How long an instance goes without an answer until it acts as the reader instead of asking one
 /// silent instance after the other.
 const DETACH_AFTER: Span = Span::from_millis(1_400);
-/// How long an instance acts as the reader at least after it had an answer again.
+/// How long an instance goes on to act as the reader after it had an answer: it loses `DETACH_AFTER`
+/// whenever it returns to others that are still silent.
 const DETACHED_FOR: Span = Span::from_secs(3);
 /// How long an instance goes without an answer until it has lost contact: by then the store, or a
 /// delegate, would have answered.
@@ -40,7 +41,9 @@
     /// one of an instance that has itself lost contact. The reader needs nobody's answers.
     pub(crate) fn on_no_answer(&mut self, now: Timestamp, sent: Timestamp) {
         if self.first_choice(now) != Parent::Store {
-            self.contact.unanswered_since.get_or_insert(sent);
+            // While this process was paused, nobody was silent.
+            let silent_since = sent.max(now - ANSWER_TIMEOUT);
+            self.contact.unanswered_since.get_or_insert(silent_since);
         }
     }
 
@@ -54,12 +57,12 @@
     /// Returns how long to wait for an answer: while others are silent too, not beyond the moment
     /// at which this instance acts as the reader.
     pub(crate) fn answer_timeout(&self, now: Timestamp) -> Span {
-        let since = self.contact.unanswered_since;
-        let silent_for = since.map(|since| now.since(since));
-        match silent_for {
-            Some(silent_for) if silent_for < DETACH_AFTER => {
-                ANSWER_TIMEOUT.min(Span(DETACH_AFTER.0 - silent_for.0))
-            }
+        let detach_at = self
+            .contact
+            .unanswered_since
+            .map(|since| since + DETACH_AFTER);
+        match detach_at {
+            Some(at) if now < at => ANSWER_TIMEOUT.min(at.since(now)),
             _ => ANSWER_TIMEOUT,
         }
     }
--- a/src/process/fleet/delegate.rs
+++ b/src/process/fleet/delegate.rs
@@ -1,7 +1,7 @@
-//! The instance that reads the store in place of the reader, while the store does not answer the
-//! reader.
+//! The instance that reads the store in place of another one, while the store does not answer the
+//! other: the reader, or one that is cut off from the reader.
 //!
-//! The reader follows one of its own followers after the other. A follower that is asked for updates
+//! The other follows one of its own followers after the other. A follower that is asked for updates
 //! by an instance that it gets its own from knows why, and reads the store.
 
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 /// A delegate reads the store until this long after the reader's last request.
 const DELEGATED_FOR: Span = Span::from_millis(1_500);
 
-/// The part that another instance has in the way by which this one gets its updates.
+/// The role of another instance on the path by which updates reach this one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum UpdateRole {
     /// It reads the store for this instance.
@@ -32,12 +32,12 @@
 }
 
 impl UpdateRole {
-    /// Returns the part of an instance among those that the updates were passed on by, the parent
-    /// first and the reader last.
-    pub(super) fn of<T: PartialEq>(name: &T, via: &[T]) -> Self {
-        if via.last() == Some(name) {
+    /// Returns the role of one of the instances that the updates were passed on by, the parent first
+    /// and the reader last.
+    pub(super) fn of<T: PartialEq>(instance: &T, via: &[T]) -> Self {
+        if via.last() == Some(instance) {
             Self::Reader
-        } else if via.contains(name) {
+        } else if via.contains(instance) {
             Self::Relay
         } else {
             Self::Uninvolved
@@ -82,21 +82,20 @@
         role: UpdateRole,
     ) {
         let until = now + DELEGATED_FOR;
+        let by = follower.clone();
         let delegation = self.choice.delegation(now);
-        let renewed = delegation.filter(|delegation| delegation.by == *follower);
-        let is_renewal = renewed.is_some();
-        // This instance has read the store since, so the role that the other has now says nothing.
-        let role = renewed.map_or(role, |delegation| delegation.role);
-        let may_read = now >= self.choice.store_avoided_until;
-        if !is_renewal && (role == UpdateRole::Uninvolved || !may_read) {
+        if let Some(renewed) = delegation.filter(|delegation| delegation.by == by) {
+            // This instance reads the store by now, so the other is no longer on the path.
+            let role = renewed.role;
+            self.choice.delegated_by = Some(Delegation { by, role, until });
             return;
         }
-        if !is_renewal {
+        let may_read = now >= self.choice.store_avoided_until;
+        if role != UpdateRole::Uninvolved && may_read {
             self.choice.store_failing = false;
             self.publish(now);
+            self.choice.delegated_by = Some(Delegation { by, role, until });
         }
-        let by = follower.clone();
-        self.choice.delegated_by = Some(Delegation { by, role, until });
     }
 
     /// Avoids the instance in whose place this one cannot read the store, if it is cut off: others may
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -164,10 +164,9 @@
                 .updated(UpdateOutcome::Failed, 0);
             let now = node.clock.now();
             if reason == FollowReason::Follows {
-                // A process that was paused knows nothing of the time before.
-                let silent_since = sent_at.max(now - ANSWER_TIMEOUT);
-                node.fleet.lock().on_no_answer(now, silent_since);
+                node.fleet.lock().on_no_answer(now, sent_at);
             }
+            // An instance that had less time to answer may be well.
             let is_cut_short = reason == FollowReason::Follows && max_wait < ANSWER_TIMEOUT;
             if !(is_cut_short && matches!(error, PeerError::Timeout(_))) {
                 node.fleet.lock().mark_unresponsive(now, addr);
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -32,6 +32,8 @@
 #[cfg(test)]
 mod cut_off_tests;
 #[cfg(test)]
+mod fleet_model;
+#[cfg(test)]
 mod members_tests;
 #[cfg(test)]
 mod parent_capacity_tests;
