Show that followers of a cut-off leader get configurations late in hyssopwalk serve

What callers see: at a follower whose leader does not reach the platform, a change is in force after 7.4, 7.5 and 7.8 s (three runs, two instances, heartbeats of 1 s); the target is 3 s.

Cause: a leader leads until its lease expires, 9 heartbeats after its last renewal, and a follower does not read the platform. Not fixed here: a leader cannot tell its own cut from an outage, and followers that all read the platform after 2 s without it would ask a store that is away once a second each, and all at once at its return.

--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -1,12 +1,19 @@
 //! Runs several instances, each as a separate process, on one platform.
 
 mod instance_processes;
+#[path = "soak/proxy.rs"]
+#[allow(dead_code, reason = "only some of the faults are used")]
+mod proxy;
 mod standin;
 
+use std::time::{Duration, Instant};
+
+use async_std::task::sleep;
 use hyssopwalk::AddressesWire;
 use instance_processes::{
     INSTANCE_NAMES, Instance, StartOptions, fleet, get_json, wait_for_members,
 };
+use proxy::{LinkFault, Proxy};
 use rustix::process::Signal;
 use standin::platform::Platform;
 use standin::{guild, query, until};
@@ -49,6 +56,43 @@
     wait_for_config(&instances, version).await;
 }
 
+/// A configuration has to be in force everywhere within this time.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(3);
+
+/// Guards against followers that keep an old configuration because their leader is cut off.
+#[async_std::test]
+async fn a_configuration_reaches_followers_of_a_leader_that_is_cut_off() {
+    let platform = Platform::start().await;
+    let _indexes = guild::start(&platform, &guild::SIZES[3..]).await;
+    let link = Proxy::start(platform.addr).await;
+    let options = StartOptions {
+        heartbeat: "1s",
+        ..StartOptions::default()
+    };
+    let leader = options.start(link.addr).await;
+    until("the instance to lead", || has_role(&leader, "leading")).await;
+    let options = StartOptions {
+        name: "two",
+        ..options
+    };
+    let follower = options.start(platform.addr).await;
+    until("the other to follow", || has_role(&follower, "following")).await;
+    // By then the watches end that the follower began before it had a leader.
+    sleep(Duration::from_secs(2)).await;
+    link.set_fault(LinkFault::Blackhole);
+    let classes = platform.value("config/classes").unwrap();
+    let version = platform.set("config/classes", classes);
+    let began = Instant::now();
+    wait_for_config(&[follower], version).await;
+    let took = began.elapsed();
+    assert!(took <= IN_FORCE_WITHIN, "in force after {took:?}");
+}
+
+async fn has_role(instance: &Instance, role: &str) -> bool {
+    let members = instance.members().await;
+    members.is_some_and(|members| members.role == role)
+}
+
 #[async_std::test]
 async fn a_planned_stop_exits_with_zero_and_leaves_the_membership() {
     let platform = Platform::start().await;
--- a/tests/instance_processes/mod.rs
+++ b/tests/instance_processes/mod.rs
@@ -30,6 +30,7 @@
     pub(crate) key: &'a str,
     pub(crate) keep: &'a str,
     pub(crate) seeds: &'a str,
+    pub(crate) heartbeat: &'a str,
 }
 
 impl Default for StartOptions<'_> {
@@ -40,6 +41,7 @@
             key: PEER_KEY,
             keep: "300ms",
             seeds: "",
+            heartbeat: "100ms",
         }
     }
 }
@@ -55,7 +57,13 @@
     pub(crate) async fn start_at(self, addr: SocketAddr, platform: SocketAddr) -> Instance {
         let mut command = Command::new(env!("CARGO_BIN_EXE_hyssopwalk"));
         command
-            .args(["serve", "--region", "central", "--heartbeat", "100ms"])
+            .args([
+                "serve",
+                "--region",
+                "central",
+                "--heartbeat",
+                self.heartbeat,
+            ])
             .args(["--name", self.name])
             .args(["--failure-domain", self.failure_domain])
             .args(["--listen", &addr.to_string()])
