--- a/src/process/fleet/cut_off_tests.rs
+++ b/src/process/fleet/cut_off_tests.rs
@@ -1,4 +1,4 @@
-//! Instances that reach the store while others, which they get their updates from, are cut off.
+//! Instances whose parent is cut off, while they are not.
 //!
 //! Guards against callers that are served by an old configuration for as long as the parent of
 //! their instance is cut off; see `docs/incidents/follower-of-a-cut-off-instance.md`.
@@ -6,7 +6,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_std::io::{ReadExt, WriteExt};
 use async_std::net::{TcpListener, TcpStream};
@@ -28,6 +28,8 @@
     ("d", &["d-1"]),
 ];
 
+const SETTLED_WITHIN: Duration = Duration::from_secs(30);
+
 /// From whom instances are cut off, besides the store.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Cut {
@@ -42,7 +44,7 @@
     cut_off: &'static [&'static str],
     /// Instances that are not cut off, but that the store refuses.
     refused: &'static [&'static str],
-    /// Instances that are not, and the ones that they follow before.
+    /// Some of the instances, and the ones that they follow before the cut.
     follows: &'static [(&'static str, &'static str)],
 }
 
@@ -128,7 +130,12 @@
     let node = |name| nodes.iter().find(|node| name_of(node) == name).unwrap();
     let wanted = Parent::Instance(node(followed).settings.me.member.peer_addr);
     let node = node(name);
+    let began = Instant::now();
     while node.fleet.lock().parent(node.clock.now()) != wanted {
+        assert!(
+            began.elapsed() < SETTLED_WITHIN,
+            "{name} does not follow {followed}"
+        );
         sleep(Duration::from_millis(10)).await;
     }
 }
