Review: show the unnoticed crash with an answer that breaks off

Case 13 plays replicas that crash in the middle of their answers in place of replicas that fall silent; the cause is the same.

--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -109,6 +109,7 @@
         "drain" => drill::play(&case),
         "config" => config::play(&case),
         "same-id" => poison::play(&case, poison::Crash::SameId),
+        "mid-answer" => poison::play(&case, poison::Crash::MidAnswer),
         "silent" => poison::play(&case, poison::Crash::Silent),
         _ => Verdict::CouldNotRun(format!("there is no case {name}")),
     };
--- a/review/standin-3/poison.rs
+++ b/review/standin-3/poison.rs
@@ -8,7 +8,7 @@
 
 use crate::client::{Clients, Plan, Sent};
 use crate::instance::Figures;
-use crate::replica::{Habits, Replica};
+use crate::replica::{CrashHabit, Replica};
 use crate::store::Store;
 use crate::{Case, Verdict, client, pause};
 
@@ -38,6 +38,8 @@
     Plain,
     /// The next start has the same id, and serves until its next ping under its old entry.
     SameId,
+    /// The replica crashes in the middle of its answer.
+    MidAnswer,
     /// Nothing is sent when the replica crashes: its connections stay open and silent.
     Silent,
 }
@@ -61,11 +63,12 @@
     let mut replicas = Vec::new();
     for (number, (zone, _)) in ZONES.iter().enumerate() {
         let id = format!("i-0000000{number}");
-        let habits = Habits {
-            crashes_silently: crash == Crash::Silent,
-            ..Habits::default()
+        let habit = match crash {
+            Crash::Plain | Crash::SameId => CrashHabit::EndsConnections,
+            Crash::MidAnswer => CrashHabit::BreaksOffAnswer,
+            Crash::Silent => CrashHabit::Silent,
         };
-        let replica = Replica::start_with(record, &id, SERVICE, zone, 60, habits);
+        let replica = Replica::start_with(record, &id, SERVICE, zone, 60, habit);
         store.put("servers", &id, &replica.entry("ready", 0));
         replicas.push(replica);
     }
--- a/review/standin-3/replica.rs
+++ b/review/standin-3/replica.rs
@@ -1,5 +1,6 @@
 //! A replica of a service, which answers every request after its work and registers in the store.
 
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,11 +13,16 @@
 /// A request for a path with this word crashes the replica that begins to run it.
 const CRASHING: &str = "crash";
 
-/// How a replica fails.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Habits {
-    /// Whether a crash sends nothing: neither an end nor a reset of its connections.
-    pub crashes_silently: bool,
+/// What a replica sends when a request crashes it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum CrashHabit {
+    /// Its connections end at once.
+    #[default]
+    EndsConnections,
+    /// It has sent a part of its answer when its connections end.
+    BreaksOffAnswer,
+    /// Nothing: its connections stay open and silent until it is back.
+    Silent,
 }
 
 /// One request that arrived at a replica.
@@ -36,7 +42,7 @@
     pub zone: String,
     born: Arc<AtomicU64>,
     work: Duration,
-    habits: Habits,
+    crash_habit: CrashHabit,
     record: Record,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// The number of pings so far.
@@ -50,7 +56,7 @@
 
 impl Replica {
     pub fn start(record: &Record, id: &str, service: &str, zone: &str, work_ms: u64) -> Self {
-        Self::start_with(record, id, service, zone, work_ms, Habits::default())
+        Self::start_with(record, id, service, zone, work_ms, CrashHabit::default())
     }
 
     pub fn start_with(
@@ -59,7 +65,7 @@
         service: &str,
         zone: &str,
         work_ms: u64,
-        habits: Habits,
+        crash_habit: CrashHabit,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let replica = Self {
@@ -69,7 +75,7 @@
             zone: zone.to_owned(),
             born: Arc::new(AtomicU64::new(crate::unix_millis())),
             work: Duration::from_millis(work_ms),
-            habits,
+            crash_habit,
             record: record.clone(),
             arrivals: Arc::default(),
             sequence: Arc::default(),
@@ -90,11 +96,15 @@
         self.down.load(Ordering::SeqCst)
     }
 
+    fn is_silent_when_down(&self) -> bool {
+        self.crash_habit == CrashHabit::Silent
+    }
+
     /// Ends the process: its connections end, and it takes no more.
     pub fn end(&self) {
         self.down.store(true, Ordering::SeqCst);
         self.ends.fetch_add(1, Ordering::SeqCst);
-        if self.habits.crashes_silently {
+        if self.is_silent_when_down() {
             return;
         }
         for stream in self.streams.lock().expect("the streams").drain(..) {
@@ -112,7 +122,7 @@
     fn accept(&self, listener: TcpListener) {
         let mut listener = Some(listener);
         loop {
-            if self.is_down() && !self.habits.crashes_silently {
+            if self.is_down() && !self.is_silent_when_down() {
                 listener = None;
             } else if listener.is_none() {
                 listener = TcpListener::bind(self.addr).ok();
@@ -150,7 +160,7 @@
     }
 
     fn stay_silent_while_down(&self, _conn: &Conn) {
-        while self.is_down() && self.habits.crashes_silently {
+        while self.is_down() && self.is_silent_when_down() {
             thread::sleep(Duration::from_millis(5));
         }
     }
@@ -198,6 +208,9 @@
         if target.contains(CRASHING) {
             self.record
                 .line(&format!("crash {} {own} {id}", self.service));
+            if self.crash_habit == CrashHabit::BreaksOffAnswer {
+                self.begin_answer(conn, &own, &id);
+            }
             self.end();
             self.stay_silent_while_down(conn);
             return false;
@@ -213,4 +226,14 @@
         conn.write("HTTP/1.1 200 OK", &fields, body.as_bytes())
             .is_ok()
     }
+
+    /// Sends the head of an answer and a part of its body.
+    fn begin_answer(&self, conn: &mut Conn, own: &str, id: &str) {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nAnswer-Stamp: {own}.{id}\r\nContent-Length: 100\r\n\r\n"
+        );
+        let part = [head.as_bytes(), b"the first bytes"].concat();
+        conn.stream.write_all(&part).ok();
+        thread::sleep(Duration::from_millis(5));
+    }
 }
