--- a/src/connection/fleet_samples.rs
+++ b/src/connection/fleet_samples.rs
@@ -7,11 +7,13 @@
 
 use super::peer_tests::{member, name};
 use crate::process::{
-    Chunk, Entry, EntryState, FollowReason, FollowRequest, IncidentReport, InstanceRecord,
-    LargeObject, MarkReport, ObjectKey, PeerRequest, PeerResponse, SilenceReport, SilentReplica,
-    Updates,
+    Chunk, Entry, EntryState, EntryVersion, FollowReason, FollowRequest, IncidentReport,
+    InstanceRecord, LargeObject, MarkReport, ObjectKey, PeerRequest, PeerResponse, SilenceReport,
+    SilentReplica, Updates, WriterOrder,
+};
+use crate::types::{
+    ByteCount, ChunkId, Era, Fingerprint, Incarnation, ObjectVersion, Position, Span,
 };
-use crate::types::{ByteCount, ChunkId, Fingerprint, Incarnation, ObjectVersion, Position, Span};
 
 prop_compose! {
     fn instance_record()(member in member(), seq: u64, capacity: u32) -> InstanceRecord {
@@ -19,30 +21,45 @@
     }
 }
 
+prop_compose! {
+    fn version()(era: u64, version: u64) -> EntryVersion {
+        EntryVersion::new(Era(era), ObjectVersion(version))
+    }
+}
+
+prop_compose! {
+    fn order()(started: u64, number: u64) -> WriterOrder {
+        WriterOrder { started, number }
+    }
+}
+
 prop_compose! {
     fn entry()(
         key in name(),
-        version: u64,
+        version in version(),
         state in prop_oneof![
             any::<Vec<u8>>().prop_map(|value| EntryState::Present(Arc::from(value))),
+            (any::<Vec<u8>>(), order()).prop_map(|(value, order)| EntryState::Kept(Arc::from(value), order)),
             Just(EntryState::Gone),
             Just(EntryState::Lapsed)
         ],
     ) -> Entry {
-        Entry { key: ObjectKey::new(key), version: ObjectVersion(version), state }
+        Entry { key: ObjectKey::new(key), version, state }
     }
 }
 
 prop_compose! {
     fn large_object()(
         key in name(),
-        version: u64,
+        version in version(),
+        kept in prop::option::of(order()),
         size: u64,
         chunks: Vec<u128>,
     ) -> LargeObject {
         LargeObject {
             key: ObjectKey::new(key),
-            version: ObjectVersion(version),
+            version,
+            kept,
             size: ByteCount(size),
             chunks: chunks.into_iter().map(ChunkId).collect(),
         }
@@ -109,6 +126,7 @@
         poison: Vec<u64>,
         silent in vec(silence_report(), 0..4),
         chunks: Vec<u128>,
+        knows_eras: bool,
     ) -> PeerRequest {
         PeerRequest::Follow(Box::new(FollowRequest {
             from,
@@ -120,6 +138,7 @@
             poison: poison.into_iter().map(Fingerprint).collect(),
             silent,
             chunks: chunks.into_iter().map(ChunkId).collect(),
+            knows_eras,
         }))
     }
 }
@@ -127,7 +146,7 @@
 prop_compose! {
     pub(super) fn updates()(
         from in instance_record(),
-        numbers: [u64; 3],
+        numbers: [u64; 4],
         age in prop::option::of(any::<u64>()),
         via in vec(name(), 0..4),
         objects in vec(entry(), 0..4),
@@ -141,6 +160,7 @@
         PeerResponse::News(Box::new(Updates {
             from,
             of: Incarnation(numbers[0]),
+            era: Some(Era(numbers[3])),
             age: age.map(Span),
             via: via.iter().map(|name| name.parse().unwrap()).collect(),
             objects,
--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -2,12 +2,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::entry_wire::{EntryWire, entries, received};
+use super::entry_wire::{
+    EntryWire, EraEntryWire, entries, era_entries, received, received_with_eras,
+};
 use super::peer_wire::{MemberWire, PeerWireError, collect};
 use crate::process::{
     FollowReason, FollowRequest, InstanceRecord, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{ChunkId, Fingerprint, Incarnation, InstanceName, Position, Span};
+use crate::types::{ChunkId, Era, Fingerprint, Incarnation, InstanceName, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -68,6 +70,43 @@
     silent: Vec<SilentReplicaWire>,
 }
 
+/// Updates with the eras of their objects, which `updates` leaves out.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct EraUpdatesWire {
+    updates: UpdatesWire,
+    era: u64,
+    objects: Vec<EraEntryWire>,
+    is_complete: bool,
+}
+
+impl EraUpdatesWire {
+    pub(super) fn new(updates: &Updates, era: Era) -> Self {
+        Self {
+            updates: updates.into(),
+            era: era.0,
+            objects: era_entries(updates),
+            is_complete: updates.is_complete,
+        }
+    }
+}
+
+impl TryFrom<EraUpdatesWire> for Updates {
+    type Error = PeerWireError;
+
+    fn try_from(wire: EraUpdatesWire) -> Result<Self, PeerWireError> {
+        let received = received_with_eras(wire.objects)?;
+        Ok(Self {
+            era: Some(Era(wire.era)),
+            objects: received.entries,
+            large: received.large,
+            chunks: received.chunks,
+            is_complete: wire.is_complete,
+            ..wire.updates.try_into()?
+        })
+    }
+}
+
 impl From<&InstanceRecord> for InstanceRecordWire {
     fn from(instance_record: &InstanceRecord) -> Self {
         Self {
@@ -189,16 +228,22 @@
             poison: wire.poison.into_iter().map(Fingerprint).collect(),
             silent: collect(wire.silent)?,
             chunks: Vec::new(),
+            knows_eras: false,
         })
     }
 }
 
 impl FollowRequestWire {
     /// Decodes a follow request that came with a request for chunks.
-    pub(super) fn with_chunks(self, chunks: Vec<u128>) -> Result<FollowRequest, PeerWireError> {
+    pub(super) fn with_chunks(
+        self,
+        chunks: Vec<u128>,
+        knows_eras: bool,
+    ) -> Result<FollowRequest, PeerWireError> {
         let chunks = chunks.into_iter().map(ChunkId).collect();
         Ok(FollowRequest {
             chunks,
+            knows_eras,
             ..self.try_into()?
         })
     }
@@ -211,7 +256,10 @@
             of: updates.of.0,
             age_us: updates.age.map(|age| age.0),
             via: updates.via.iter().map(ToString::to_string).collect(),
-            objects: entries(updates),
+            objects: match updates.era {
+                Some(_) => Vec::new(),
+                None => entries(updates),
+            },
             objects_to: updates.objects_to.0,
             members: updates
                 .members
@@ -238,6 +286,7 @@
         Ok(Self {
             from: wire.from.try_into()?,
             of: Incarnation(wire.of),
+            era: None,
             age: wire.age_us.map(Span),
             via: via?,
             objects: received.entries,
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -69,7 +69,15 @@
     keys: Vec<PeerKey>,
     /// The memory for the messages of all other instances.
     memory: Arc<MemoryBudget>,
-    connections: Ranked<IndexMap<SocketAddr, SendRequest<Bytes>>>,
+    connections: Ranked<IndexMap<SocketAddr, PeerConnection>>,
+}
+
+/// An authenticated connection to another instance.
+#[derive(Clone, Debug)]
+struct PeerConnection {
+    sender: SendRequest<Bytes>,
+    /// Whether the other instance has refused a request that only the version before refuses.
+    is_older: bool,
 }
 
 impl Peers {
@@ -112,14 +120,35 @@
         received: &AtomicUsize,
     ) -> Result<PeerResponse, PeerError> {
         let existing = self.connections.lock().get(&addr).cloned();
-        let sender = match existing {
-            Some(sender) => sender,
-            None => self.connect(addr).await?,
+        let connection = match existing {
+            Some(connection) => connection,
+            None => self.connect(addr, false).await?,
         };
+        let older_form = || PeerRequestWire::from(request).without_eras();
+        let wire = older_form().filter(|_| connection.is_older);
+        let wire = wire.unwrap_or_else(|| PeerRequestWire::from(request));
+        let response = self.exchange(&connection, &wire, received).await;
+        let is_refused = matches!(response, Err(PeerError::Refused(StatusCode::BAD_REQUEST)));
+        match older_form().filter(|_| is_refused && !connection.is_older) {
+            // A refusal ends the connection.
+            Some(wire) => {
+                let connection = self.connect(addr, true).await?;
+                self.exchange(&connection, &wire, received).await
+            }
+            None => response,
+        }
+    }
+
+    async fn exchange(
+        &self,
+        connection: &PeerConnection,
+        wire: &PeerRequestWire,
+        received: &AtomicUsize,
+    ) -> Result<PeerResponse, PeerError> {
         let body = call(
-            &sender,
+            &connection.sender,
             REQUEST_PATH,
-            &PeerRequestWire::from(request),
+            wire,
             MAX_MESSAGE_BYTES,
             &self.memory,
             received,
@@ -129,7 +158,7 @@
         Ok(wire.try_into()?)
     }
 
-    async fn connect(&self, addr: SocketAddr) -> Result<SendRequest<Bytes>, PeerError> {
+    async fn connect(&self, addr: SocketAddr, is_older: bool) -> Result<PeerConnection, PeerError> {
         let stream = TcpStream::connect(addr).await?;
         stream.set_nodelay(true)?;
         let (sender, connection) = client::Builder::new()
@@ -146,8 +175,9 @@
         if connections.len() >= MAX_CONNECTIONS {
             connections.shift_remove_index(0);
         }
-        connections.insert(addr, sender.clone());
-        Ok(sender)
+        let connection = PeerConnection { sender, is_older };
+        connections.insert(addr, connection.clone());
+        Ok(connection)
     }
 
     async fn authenticate(&self, sender: &SendRequest<Bytes>) -> Result<(), PeerError> {
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::entry_wire::PartRequestWire;
-use super::fleet_wire::{FollowRequestWire, UpdatesWire};
+use super::fleet_wire::{EraUpdatesWire, FollowRequestWire, UpdatesWire};
 use super::heartbeat_wire::{HeartbeatReplyWire, HeartbeatWire, ObjectWire};
 use super::mark_wire::MarkWire;
 use crate::process::{Member, Object, ObjectKey, PeerRequest, PeerResponse, Updates};
@@ -113,6 +113,20 @@
     FollowChunks(Box<FollowRequestWire>, Vec<u128>),
     /// The version before cannot read this, and nothing depends on its answer.
     Marks(Vec<MarkWire>),
+    /// A follow request of an instance that understands eras of the store. The version before
+    /// refuses it, and gets one of the others instead.
+    FollowEras(Box<FollowRequestWire>, Vec<u128>),
+}
+
+impl PeerRequestWire {
+    /// Returns the request in the form that the version before can read, if there is one.
+    pub(super) fn without_eras(self) -> Option<Self> {
+        match self {
+            Self::FollowEras(follow, chunks) if chunks.is_empty() => Some(Self::Follow(follow)),
+            Self::FollowEras(follow, chunks) => Some(Self::FollowChunks(follow, chunks)),
+            _ => None,
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -123,6 +137,8 @@
     News(Box<UpdatesWire>),
     /// Updates that are not complete: the sender has more for the follower.
     MoreNews(Box<UpdatesWire>),
+    /// The answer to `FollowEras`.
+    EraNews(Box<EraUpdatesWire>),
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -183,10 +199,11 @@
             }
             PeerRequest::Follow(follow) => {
                 let wire = Box::new(follow.as_ref().into());
-                if follow.chunks.is_empty() {
-                    Self::Follow(wire)
-                } else {
-                    Self::FollowChunks(wire, follow.chunks.iter().map(|id| id.0).collect())
+                let chunks: Vec<u128> = follow.chunks.iter().map(|id| id.0).collect();
+                match (follow.knows_eras, chunks.is_empty()) {
+                    (true, _) => Self::FollowEras(wire, chunks),
+                    (false, true) => Self::Follow(wire),
+                    (false, false) => Self::FollowChunks(wire, chunks),
                 }
             }
         }
@@ -209,7 +226,10 @@
             }
             PeerRequestWire::Marks(marks) => Self::Marks(collect(marks)?),
             PeerRequestWire::FollowChunks(follow, chunks) => {
-                Self::Follow(Box::new(follow.with_chunks(chunks)?))
+                Self::Follow(Box::new(follow.with_chunks(chunks, false)?))
+            }
+            PeerRequestWire::FollowEras(follow, chunks) => {
+                Self::Follow(Box::new(follow.with_chunks(chunks, true)?))
             }
         })
     }
@@ -226,11 +246,11 @@
                     .collect(),
             ),
             PeerResponse::News(updates) => {
-                let wire = Box::new(updates.as_ref().into());
-                if updates.is_complete {
-                    Self::News(wire)
-                } else {
-                    Self::MoreNews(wire)
+                let wire = || Box::new(updates.as_ref().into());
+                match (updates.era, updates.is_complete) {
+                    (Some(era), _) => Self::EraNews(Box::new(EraUpdatesWire::new(updates, era))),
+                    (None, true) => Self::News(wire()),
+                    (None, false) => Self::MoreNews(wire()),
                 }
             }
         }
@@ -254,6 +274,7 @@
                 is_complete: false,
                 ..(*updates).try_into()?
             })),
+            PeerResponseWire::EraNews(updates) => Self::News(Box::new((*updates).try_into()?)),
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,7 +36,7 @@
 };
 pub use types::{
     ByteCount, CallerName, CellSeq, ChangeId, ChangeNumber, ClassName, ConfigVersion,
-    ConnectionCount, Coverage, Epoch, FailureDomain, Fingerprint, IdempotencyKey, Incarnation,
+    ConnectionCount, Coverage, Epoch, Era, FailureDomain, Fingerprint, IdempotencyKey, Incarnation,
     IndexName, InstanceName, KeyRange, LegId, ObjectVersion, OperatorKey, OperatorName, ParseError,
     PeerKey, PerSecond, Position, QueryId, Ratio, Region, Revision, RouteName, ServiceName,
     ShardId, SlotCount, SnapshotId, Span, Timestamp, UnixSeconds, UpstreamName,
--- a/src/platform/objects.rs
+++ b/src/platform/objects.rs
@@ -7,7 +7,9 @@
 use serde::Deserialize;
 
 use super::store_wire::protocol_error;
-use crate::process::{DecodedObject, ObjectDecoder, ObjectKey, PlatformError, ReplicaEntry};
+use crate::process::{
+    DecodedObject, ObjectDecoder, ObjectKey, PlatformError, ReplicaEntry, WriterOrder,
+};
 use crate::types::{
     ByteCount, ConfigVersion, ConnectionCount, ParseError, Ratio, ServiceName, SlotCount, Span,
 };
@@ -44,6 +46,25 @@
             .map(DecodedObject::Replica)
             .map_err(protocol_error)
     }
+
+    fn writer_order(&self, key: &ObjectKey, value: &[u8]) -> Option<WriterOrder> {
+        if self.outlives_copy(key) {
+            let wire: ConfigVersionWire = serde_json::from_slice(value).ok()?;
+            return Some(WriterOrder {
+                started: 0,
+                number: wire.version,
+            });
+        }
+        let wire: ServerWire = serde_json::from_slice(value).ok()?;
+        Some(WriterOrder {
+            started: wire.born.unwrap_or_default(),
+            number: wire.sequence,
+        })
+    }
+
+    fn outlives_copy(&self, key: &ObjectKey) -> bool {
+        key.as_str() == CONFIG_KEY
+    }
 }
 
 #[derive(Debug)]
@@ -56,6 +77,13 @@
     limits: Option<LimitsWire>,
 }
 
+/// The part of a configuration that orders it among others.
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct ConfigVersionWire {
+    version: u64,
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct RouteWire {
@@ -131,8 +159,8 @@
     state: ServerStateWire,
     #[serde(rename = "cold_remaining_ms")]
     _cold_remaining_ms: f64,
-    #[serde(rename = "sequence")]
-    _sequence: u64,
+    /// Increases with each heartbeat of the process.
+    sequence: u64,
     /// The start time of the process; a later process may use the same id.
     #[serde(default)]
     born: Option<u64>,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,7 +19,7 @@
     CallRates, Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, Platform,
     PlatformError,
 };
-use crate::types::{ObjectVersion, Revision, Span};
+use crate::types::{Era, ObjectVersion, Revision, Span};
 
 /// A listing of 120,000 replicas has a few hundred pages.
 const MAX_PAGES: usize = 1_000;
@@ -105,6 +105,7 @@
         Box::pin(async move {
             let kind = kind_of(prefix);
             let mut listing = Listing {
+                era: Era::default(),
                 revision: Revision(0),
                 objects: Vec::new(),
             };
@@ -116,6 +117,10 @@
                 if page == 0 {
                     // Changes made while later pages are read are reported by a watch from this revision.
                     listing.revision = Revision(wire.current_rev);
+                    listing.era = reply.era;
+                }
+                if reply.era != listing.era {
+                    return Err(PlatformError::EraChanged);
                 }
                 add_page(&mut listing, kind, &wire);
                 if !wire.more || wire.items.is_empty() {
@@ -189,7 +194,7 @@
             let reply = self.connections.read(&path, wait.as_duration()).await?;
             let text = text(&reply.body);
             let wire: EventsWire<'_> = serde_json::from_str(&text).map_err(protocol_error)?;
-            let mut changes = decode_changes(kind, &wire);
+            let mut changes = decode_changes(kind, reply.era, &wire);
             let is_under = |change: &Change| change.key.is_under(prefix);
             changes.changes.retain(is_under);
             Ok(changes)
--- a/src/platform/store_connections.rs
+++ b/src/platform/store_connections.rs
@@ -13,6 +13,7 @@
 use crate::connection::{Http1Conn, HttpError, ResponseHead};
 use crate::process::{CallBucket, CallRates, PlatformError, Rank, Ranked};
 use crate::request::Body;
+use crate::types::Era;
 
 /// The time until the head of a response: the store responds in milliseconds, or in a few hundred
 /// when it is slow.
@@ -36,11 +37,14 @@
 const MAX_IDLE_CONNECTIONS: usize = 8;
 /// The store sends at most about a megabyte, in JSON that may escape some of it.
 const MAX_BODY_BYTES: usize = 4 << 20;
+/// The header field that rises by one each time the store comes back from a copy.
+const ERA_FIELD: &str = "Store-Era";
 
 /// A complete reply of the store.
 #[derive(Debug)]
 pub(super) struct Reply {
     pub(super) status: u16,
+    pub(super) era: Era,
     pub(super) body: Body,
 }
 
@@ -161,6 +165,7 @@
         }
         Ok(Reply {
             status: head.status,
+            era: era(&head),
             body,
         })
     }
@@ -177,6 +182,14 @@
     }
 }
 
+/// Returns the era that a reply states. A store that states none has one era for ever.
+fn era(head: &ResponseHead) -> Era {
+    let stated = head.fields.get(ERA_FIELD);
+    stated
+        .and_then(|text| text.parse().ok())
+        .unwrap_or_default()
+}
+
 /// Reads a body as long as it makes progress. A value of the maximum size takes longer to arrive
 /// over a slow link than the store takes to respond.
 async fn read_body(conn: &mut Http1Conn, head: &ResponseHead) -> Result<Body, HttpError> {
--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -8,7 +8,7 @@
 use crate::process::{
     Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, PlatformError,
 };
-use crate::types::{ObjectVersion, Revision};
+use crate::types::{Era, ObjectVersion, Revision};
 
 /// A page of the objects of one kind.
 #[derive(Debug)]
@@ -171,7 +171,7 @@
 }
 
 /// Decodes the changes of a watch; those that cannot be decoded are skipped and logged.
-pub(super) fn decode_changes(kind: &str, wire: &EventsWire<'_>) -> Changes {
+pub(super) fn decode_changes(kind: &str, era: Era, wire: &EventsWire<'_>) -> Changes {
     let mut changes = Vec::with_capacity(wire.events.len());
     for event in &wire.events {
         match decode_object(kind, event.object) {
@@ -184,6 +184,7 @@
         }
     }
     Changes {
+        era,
         revision: Revision(wire.current_rev),
         changes,
     }
--- a/src/platform/store_wire_tests.rs
+++ b/src/platform/store_wire_tests.rs
@@ -7,12 +7,13 @@
 use super::super::objects::PlatformObjectDecoder;
 use super::{EventsWire, PageWire, add_page, decode_changes, decode_instances, text};
 use crate::process::{Listing, ObjectDecoder, ObjectKey};
-use crate::types::Revision;
+use crate::types::{Era, Revision};
 
 fn listing(bytes: &[u8]) -> Option<Listing> {
     let text = text(bytes);
     let wire: PageWire<'_> = serde_json::from_str(&text).ok()?;
     let mut listing = Listing {
+        era: Era(1),
         revision: Revision(wire.current_rev),
         objects: Vec::new(),
     };
@@ -26,7 +27,7 @@
         decode_instances(&listing).ok();
     }
     if let Ok(wire) = serde_json::from_str::<EventsWire<'_>>(&text(bytes)) {
-        decode_changes("k", &wire);
+        decode_changes("k", Era(1), &wire);
     }
 }
 
@@ -76,7 +77,7 @@
         let events = json!({ "events": events, "current_rev": 9 }).to_string();
         let wire: EventsWire<'_> = serde_json::from_str(&events).expect(invalid.name);
         assert_eq!(
-            decode_changes("k", &wire).changes.len(),
+            decode_changes("k", Era(1), &wire).changes.len(),
             1,
             "{}",
             invalid.name
--- a/src/process/fleet/apply.rs
+++ b/src/process/fleet/apply.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use super::{Chunk, DecodedObject, Entry, EntryState, LargeObject, Node, ReplicaEntry};
+use super::{Chunk, DecodedObject, Entry, LargeObject, Node, ObjectCache, ReplicaEntry, restore};
 use crate::process::Catalog;
 use crate::process::cells::MemberState;
-use crate::types::{Span, UpstreamName};
+use crate::types::{Era, Span, UpstreamName};
 use crate::version::RouteTable;
 
 impl Node {
@@ -14,9 +14,11 @@
     pub(super) fn apply_entries(&self, entries: Vec<Entry>) {
         let changed: Vec<Entry> = {
             let mut object_cache = self.object_cache.lock();
-            let mut entries = entries;
-            entries.retain(|entry| object_cache.apply(entry.clone()));
-            entries
+            let newer = entries.into_iter().filter_map(|entry| {
+                let entry = self.reconcile(&object_cache, entry);
+                object_cache.apply(entry.clone()).then_some(entry)
+            });
+            newer.collect()
         };
         if changed.is_empty() {
             return;
@@ -36,10 +38,30 @@
         self.notify_waiters();
     }
 
-    fn decode(&self, entry: &Entry) -> Option<DecodedObject> {
-        let EntryState::Present(value) = &entry.state else {
-            return None;
+    fn reconcile(&self, object_cache: &ObjectCache, entry: Entry) -> Entry {
+        match object_cache.known(&entry.key) {
+            Some(known) => restore::reconcile(&*self.object_decoder, known, entry),
+            None => entry,
+        }
+    }
+
+    /// Records the era of the store that an answer states. Returns whether no later one is known, so
+    /// that the answer may be used.
+    pub(super) fn enter_era(&self, era: Era) -> bool {
+        let (known, before) = {
+            let mut object_cache = self.object_cache.lock();
+            let before = object_cache.enter_era(era);
+            (object_cache.era(), before)
         };
+        if let Some(before) = before.filter(|before| *before != Era::default()) {
+            tracing::warn!(%before, %era, "the store came back from an older copy");
+        }
+        self.engine.metrics.members.entered_era(known);
+        era >= known
+    }
+
+    fn decode(&self, entry: &Entry) -> Option<DecodedObject> {
+        let value = entry.state.value()?;
         let decoded = self.object_decoder.read(&entry.key, value);
         if let Err(error) = &decoded {
             tracing::warn!(key = %entry.key, version = %entry.version, %error, "an object could not be decoded");
--- a/src/process/fleet/avoided.rs
+++ b/src/process/fleet/avoided.rs
@@ -21,6 +21,8 @@
     Unresponsive,
     /// Its updates are stale. Requests of its own do not change that.
     Stale,
+    /// It knows less of the store than this instance, and will not tell when that has changed.
+    EarlierEra,
     /// It could not read the store in place of this instance.
     CannotDelegate,
 }
@@ -38,7 +40,7 @@
 impl AvoidedInstances {
     pub(super) fn insert(&mut self, now: Timestamp, addr: SocketAddr, reason: AvoidReason) {
         let duration = match reason {
-            AvoidReason::Unresponsive | AvoidReason::Stale => AVOID_FOR,
+            AvoidReason::Unresponsive | AvoidReason::Stale | AvoidReason::EarlierEra => AVOID_FOR,
             AvoidReason::CannotDelegate => AVOID_DELEGATE_FOR,
         };
         let until = now + duration;
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -201,6 +201,7 @@
         poison,
         silent,
         chunks,
+        knows_eras: true,
     };
     (follow, sent)
 }
@@ -210,9 +211,14 @@
     let now = node.clock.now();
     let is_loop = updates.via.contains(&node.settings.me.member.name);
     let age = updates.age;
+    let is_earlier_era = updates.era.unwrap_or_default() < node.object_cache.lock().era();
     let (freshness, avoids) = {
         let mut fleet = node.fleet.lock();
-        let freshness = fleet.freshness(&updates.from.member, age, is_loop);
+        let freshness = if is_earlier_era {
+            Freshness::EarlierEra
+        } else {
+            fleet.freshness(&updates.from.member, age, is_loop)
+        };
         if freshness == Freshness::Disconnected {
             fleet.on_no_answer(now, sent_at);
         } else {
@@ -249,13 +255,14 @@
     }
     mark_poison(node, &updates.poison);
     node.accept_agreed_silence(updates.silent);
+    let is_latest_era = node.enter_era(updates.era.unwrap_or_default());
     let is_complete = updates.is_complete;
     let (age, via) = (updates.age, updates.via);
     let has_everything = node.apply_objects(updates.objects, updates.large, &updates.chunks);
     // A probe is answered without objects, so it says nothing of those that are known here.
     let has_objects = reason != FollowReason::Looks;
     if has_objects && !is_loop {
-        if let Some(age) = age {
+        if let Some(age) = age.filter(|_| is_latest_era) {
             node.fleet.lock().on_store_confirmed(now);
             node.confirm(age, is_complete && has_everything);
         }
--- a/src/process/fleet/follow_tests.rs
+++ b/src/process/fleet/follow_tests.rs
@@ -12,7 +12,7 @@
 use super::super::slow_link_tests::start_node;
 use super::{FollowReason, Node, Progress, Updates, apply_updates};
 use crate::process::platform::fake::FakePlatform;
-use crate::types::{Incarnation, Position, Span};
+use crate::types::{Era, Incarnation, Position, Span};
 
 struct Case {
     answered: u64,
@@ -77,6 +77,7 @@
         via: vec![from.member.name.clone()],
         from,
         of: Incarnation(1),
+        era: Some(Era::default()),
         age: Some(Span::ZERO),
         objects: Vec::new(),
         large: Vec::new(),
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -10,9 +10,10 @@
 use indexmap::{IndexMap, IndexSet};
 
 use super::chunks::{Chunk, ChunkStore};
-use super::{Entry, EntryState};
+use super::entry::{Precedence, StatePrecedence};
+use super::{Entry, EntryState, EntryVersion, WriterOrder};
 use crate::process::ObjectKey;
-use crate::types::{ByteCount, ChunkId, ObjectVersion};
+use crate::types::{ByteCount, ChunkId};
 
 /// Values that are larger than this are sent in chunks.
 const MAX_WHOLE_BYTES: usize = 16 << 10;
@@ -26,13 +27,28 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct LargeObject {
     pub(crate) key: ObjectKey,
-    pub(crate) version: ObjectVersion,
+    pub(crate) version: EntryVersion,
+    /// Its place in the order of its writer, if it outlived a copy of the store.
+    pub(crate) kept: Option<WriterOrder>,
     /// The size of its value.
     pub(crate) size: ByteCount,
     /// The chunks of its value, in order.
     pub(crate) chunks: Arc<[ChunkId]>,
 }
 
+impl LargeObject {
+    /// Returns the precedence of the announced state among those of the same object.
+    pub(super) fn precedence(&self) -> Precedence {
+        let state = self
+            .kept
+            .map_or(StatePrecedence::Present, StatePrecedence::Kept);
+        Precedence {
+            version: self.version,
+            state,
+        }
+    }
+}
+
 /// The large objects of a cache: those that it holds, and those that are on their way.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LargeObjects {
@@ -49,12 +65,12 @@
     pub(super) fn hold(&mut self, entry: &Entry) {
         let key = &entry.key;
         let arrived = self.arrived.swap_remove(key);
-        let arrived = arrived.filter(|arrived| arrived.version == entry.version);
+        let arrived = arrived.filter(|arrived| arrived.precedence() == entry.precedence());
         let replaced = match arrived.or_else(|| self.split(entry)) {
             Some(held) => self.held.insert(key.clone(), held),
             None => self.held.swap_remove(key),
         };
-        let is_needless = |incoming: &LargeObject| incoming.version <= entry.version;
+        let is_needless = |incoming: &LargeObject| incoming.precedence() <= entry.precedence();
         let needless = self.incoming.get(key).is_some_and(is_needless);
         if needless {
             self.incoming.shift_remove(key);
@@ -77,7 +93,7 @@
     /// Records that an object was announced.
     pub(super) fn announce(&mut self, object: LargeObject) {
         let known = self.incoming.get(&object.key);
-        if known.is_some_and(|known| object.version <= known.version) {
+        if known.is_some_and(|known| object.precedence() <= known.precedence()) {
             return;
         }
         let (key, version, size) = (&object.key, object.version, object.size);
@@ -133,29 +149,37 @@
 
     /// Cuts the value of an entry if it is too large for one message.
     fn split(&mut self, entry: &Entry) -> Option<LargeObject> {
-        let EntryState::Present(value) = &entry.state else {
-            return None;
+        let value = entry.state.value()?;
+        let kept = match &entry.state {
+            EntryState::Kept(_, order) => Some(*order),
+            EntryState::Present(_) | EntryState::Gone | EntryState::Lapsed => None,
         };
         (value.len() > MAX_WHOLE_BYTES).then(|| LargeObject {
             key: entry.key.clone(),
             version: entry.version,
+            kept,
             size: ByteCount(value.len() as u64),
             chunks: self.chunks.split(value),
         })
     }
 
     fn assemble(&mut self, object: LargeObject) -> Option<Entry> {
-        let (key, version) = (object.key.clone(), object.version);
+        let (key, version, kept) = (object.key.clone(), object.version, object.kept);
         let Some(value) = self.chunks.join(&object.chunks, object.size) else {
             tracing::warn!(%key, %version, "the chunks of an object do not make up its size");
             return None;
         };
         tracing::info!(%key, %version, "a large object has arrived");
         self.arrived.insert(key.clone(), object);
+        let value = Arc::from(value);
+        let state = match kept {
+            Some(order) => EntryState::Kept(value, order),
+            None => EntryState::Present(value),
+        };
         Some(Entry {
             key,
             version,
-            state: EntryState::Present(Arc::from(value)),
+            state,
         })
     }
 
--- a/src/process/fleet/large_objects_tests.rs
+++ b/src/process/fleet/large_objects_tests.rs
@@ -8,9 +8,9 @@
 use rstest::rstest;
 
 use super::super::ObjectCache;
-use super::{Chunk, Entry, EntryState, LargeObject};
+use super::{Chunk, Entry, EntryState, EntryVersion, LargeObject};
 use crate::process::ObjectKey;
-use crate::types::{ByteCount, ChunkId, ObjectVersion, Position};
+use crate::types::{ByteCount, ChunkId, Era, ObjectVersion, Position};
 
 const SIZE: usize = 200 << 10;
 /// How many bytes each version changes, at a place of its own.
@@ -58,7 +58,7 @@
 fn entry(version: u64, value: Vec<u8>) -> Entry {
     Entry {
         key: ObjectKey::new("config/main"),
-        version: ObjectVersion(version),
+        version: EntryVersion::new(Era(1), ObjectVersion(version)),
         state: EntryState::Present(Arc::from(value)),
     }
 }
@@ -75,7 +75,7 @@
 
 fn receive(follower: &mut ObjectCache, chunks: &[Chunk]) {
     for complete in follower.add_chunks(chunks) {
-        let version = complete.version.0;
+        let version = complete.version.object.0;
         assert_eq!(complete, entry(version, value(version)));
         follower.apply(complete);
     }
@@ -161,8 +161,8 @@
         }
     }
     let held = follower.since(Position(0), MESSAGE);
-    let whole = held.entries.iter().map(|entry| entry.version.0);
-    let large = held.large.iter().map(|object| object.version.0);
+    let whole = held.entries.iter().map(|entry| entry.version.object.0);
+    let large = held.large.iter().map(|object| object.version.object.0);
     let version = whole.chain(large).max().unwrap_or_default();
     assert_eq!((version, follower.has_incoming()), case.wanted);
 }
@@ -214,7 +214,8 @@
     let mut follower = ObjectCache::default();
     follower.announce(LargeObject {
         key: ObjectKey::new("config/main"),
-        version: ObjectVersion(1),
+        version: EntryVersion::new(Era(1), ObjectVersion(1)),
+        kept: None,
         size: ByteCount(size),
         chunks: (0..).map(ChunkId).take(chunks).collect(),
     });
--- a/src/process/fleet/messages.rs
+++ b/src/process/fleet/messages.rs
@@ -1,7 +1,7 @@
 //! The messages between a follower and its parent.
 
 use super::{Chunk, Entry, InstanceRecord, LargeObject, SilenceReport, SilentReplica};
-use crate::types::{ChunkId, Fingerprint, Incarnation, InstanceName, Position, Span};
+use crate::types::{ChunkId, Era, Fingerprint, Incarnation, InstanceName, Position, Span};
 
 /// Why an instance sends a request for updates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +33,8 @@
     pub(crate) silent: Vec<SilenceReport>,
     /// The chunks that the sender lacks of announced objects.
     pub(crate) chunks: Vec<ChunkId>,
+    /// Whether the sender understands eras of the store. The version before does not.
+    pub(crate) knows_eras: bool,
 }
 
 /// The updates that a follower lacks.
@@ -41,6 +43,9 @@
     pub(crate) from: InstanceRecord,
     /// The process that sends the updates.
     pub(crate) of: Incarnation,
+    /// The latest era of the store that the sender knows; none if one of both does not understand
+    /// eras.
+    pub(crate) era: Option<Era>,
     /// How long ago the store confirmed the objects; none if it never did, or if the sender has lost
     /// contact with the instances that it follows.
     pub(crate) age: Option<Span>,
--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod chunks;
 mod contact;
 mod delegate;
+mod entry;
 mod follow;
 mod instance_record;
 mod large_objects;
@@ -23,6 +24,7 @@
 mod outage;
 mod parent;
 mod replica_registry;
+mod restore;
 mod serve;
 mod silence;
 mod silence_agreement;
@@ -32,6 +34,8 @@
 #[cfg(test)]
 mod cut_off_tests;
 #[cfg(test)]
+mod era_tests;
+#[cfg(test)]
 mod fleet_model;
 #[cfg(test)]
 mod members_tests;
@@ -43,14 +47,16 @@
 mod slow_link_tests;
 
 pub(crate) use chunks::Chunk;
+pub(crate) use entry::{Entry, EntryState, EntryVersion};
 pub(crate) use instance_record::InstanceRecord;
 pub(crate) use large_objects::LargeObject;
 pub(crate) use members::Fleet;
 pub(crate) use messages::{FollowReason, FollowRequest, Updates};
 pub(crate) use node::{Node, NodeSettings};
-pub(crate) use object_cache::{Entry, EntryState, ObjectCache};
+pub(crate) use object_cache::ObjectCache;
 pub(crate) use object_decoder::{DecodedObject, ObjectDecoder};
 pub(crate) use parent::{Freshness, Parent};
 pub(crate) use replica_registry::{ReplicaEntry, ReplicaRegistry};
+pub(crate) use restore::WriterOrder;
 pub(crate) use serve::{RouteRequest, RouteResponse};
 pub(crate) use silence::{SilenceReport, SilenceTracker, SilentReplica};
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -11,38 +11,14 @@
 
 use super::chunks::Chunk;
 use super::large_objects::{LargeObject, LargeObjects};
+use super::restore::Known;
+use super::{Entry, EntryState, EntryVersion};
 use crate::process::ObjectKey;
-use crate::types::{ChunkId, ObjectVersion, Position, Revision, Span, Timestamp};
-
-/// An object at one version, or the record that it was deleted.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Entry {
-    pub(crate) key: ObjectKey,
-    pub(crate) version: ObjectVersion,
-    pub(crate) state: EntryState,
-}
+use crate::types::{ChunkId, Era, Position, Span, Timestamp};
 
-impl Entry {
-    /// Returns the approximate size of the entry in a message.
-    pub(super) fn size(&self) -> usize {
-        let value = match &self.state {
-            EntryState::Present(value) => value.len(),
-            EntryState::Gone | EntryState::Lapsed => 0,
-        };
-        self.key.as_str().len() + value
-    }
-}
-
-/// What is known of an object.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum EntryState {
-    /// The object exists and has this value.
-    Present(Arc<[u8]>),
-    /// The object was deleted.
-    Gone,
-    /// The object disappeared around an outage of the store, so it may only have lapsed.
-    Lapsed,
-}
+/// The number of deleted objects whose last values are kept. A copy of the store is some seconds
+/// old, so only what was deleted lately can be in it.
+const MAX_LAST_VALUES: usize = 4_096;
 
 /// The changes of the cache after a position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -62,6 +38,10 @@
 pub(crate) struct ObjectCache {
     entries: IndexMap<ObjectKey, (Position, Entry)>,
     large: LargeObjects,
+    /// The values that objects had before they were deleted, oldest first.
+    last_values: IndexMap<ObjectKey, Arc<[u8]>>,
+    /// The latest era of the store that is known.
+    era: Era,
     last_position: Position,
     /// The number of followed prefixes.
     prefixes: usize,
@@ -115,12 +95,12 @@
     /// Applies an entry unless it is no newer than the known one. Returns whether anything
     /// changed.
     pub(crate) fn apply(&mut self, entry: Entry) -> bool {
-        if let Some((_, known)) = self.entries.get(&entry.key) {
-            let precedence = |entry: &Entry| (entry.version, state_precedence(&entry.state));
-            if precedence(&entry) <= precedence(known) {
-                return false;
-            }
+        let known = self.entries.get(&entry.key).map(|(_, known)| known);
+        if known.is_some_and(|known| entry.precedence() <= known.precedence()) {
+            return false;
         }
+        let last_value = known.and_then(|known| known.state.value()).cloned();
+        self.keep_last_value(&entry, last_value);
         self.last_position = Position(self.last_position.0 + 1);
         self.large.hold(&entry);
         self.entries
@@ -128,29 +108,61 @@
         true
     }
 
-    /// Returns the known keys under a prefix that a listing at this revision does not
+    fn keep_last_value(&mut self, entry: &Entry, last_value: Option<Arc<[u8]>>) {
+        match (&entry.state, last_value) {
+            (EntryState::Gone | EntryState::Lapsed, Some(value)) => {
+                if self.last_values.len() == MAX_LAST_VALUES {
+                    self.last_values.shift_remove_index(0);
+                }
+                self.last_values.insert(entry.key.clone(), value);
+            }
+            (EntryState::Present(_) | EntryState::Kept(..), _) => {
+                self.last_values.shift_remove(&entry.key);
+            }
+            (EntryState::Gone | EntryState::Lapsed, None) => {}
+        }
+    }
+
+    /// Returns what is known of an object.
+    pub(super) fn known(&self, key: &ObjectKey) -> Option<Known<'_>> {
+        let (_, entry) = self.entries.get(key)?;
+        let last_value = self.last_values.get(key);
+        Some(Known { entry, last_value })
+    }
+
+    /// Returns the latest era of the store that is known.
+    pub(crate) fn era(&self) -> Era {
+        self.era
+    }
+
+    /// Records that the store, or an instance that heard from it, is in this era. Returns the era
+    /// before if this one is later.
+    pub(crate) fn enter_era(&mut self, era: Era) -> Option<Era> {
+        (era > self.era).then(|| std::mem::replace(&mut self.era, era))
+    }
+
+    /// Returns the known objects under a prefix that a listing of this version does not
     /// contain.
-    pub(crate) fn missing_from_listing(
+    pub(super) fn missing_from_listing(
         &self,
         prefix: &str,
         listed: &[ObjectKey],
-        at: Revision,
-    ) -> Vec<ObjectKey> {
+        at: EntryVersion,
+    ) -> Vec<&Entry> {
         let listed: IndexSet<&ObjectKey> = listed.iter().collect();
         let under = |entry: &&Entry| entry.key.is_under(prefix);
         let entries = self.entries.values().map(|(_, entry)| entry);
         entries
             .filter(under)
-            .filter(|entry| matches!(entry.state, EntryState::Present(_)))
-            .filter(|entry| entry.version.0 <= at.0 && !listed.contains(&entry.key))
-            .map(|entry| entry.key.clone())
+            .filter(|entry| entry.state.value().is_some())
+            .filter(|entry| entry.version <= at && !listed.contains(&entry.key))
             .collect()
     }
 
     /// Records that an object was announced whose value is sent in chunks.
     pub(crate) fn announce(&mut self, object: LargeObject) {
         let known = self.entries.get(&object.key);
-        if known.is_none_or(|(_, known)| object.version > known.version) {
+        if known.is_none_or(|(_, known)| object.precedence() > known.precedence()) {
             self.large.announce(object);
         }
     }
@@ -207,16 +219,6 @@
     }
 }
 
-/// Orders the states of one version: gone or lapsed is later than present, and gone is
-/// later than lapsed.
-fn state_precedence(state: &EntryState) -> u8 {
-    match state {
-        EntryState::Present(_) => 0,
-        EntryState::Lapsed => 1,
-        EntryState::Gone => 2,
-    }
-}
-
 #[cfg(test)]
 #[path = "object_cache_tests.rs"]
 mod object_cache_tests;
--- a/src/process/fleet/object_cache_tests.rs
+++ b/src/process/fleet/object_cache_tests.rs
@@ -4,9 +4,9 @@
 
 use rstest::rstest;
 
-use super::{Entry, EntryState, ObjectCache};
+use super::{Entry, EntryState, EntryVersion, ObjectCache};
 use crate::process::ObjectKey;
-use crate::types::{ObjectVersion, Position, Revision};
+use crate::types::{Era, ObjectVersion, Position};
 
 const MAX_BYTES: usize = 1 << 20;
 
@@ -32,11 +32,15 @@
     };
     Entry {
         key: key(),
-        version: ObjectVersion(version),
+        version: at(version),
         state,
     }
 }
 
+fn at(version: u64) -> EntryVersion {
+    EntryVersion::new(Era(1), ObjectVersion(version))
+}
+
 struct Case {
     updates: &'static [Update],
     wanted: Update,
@@ -66,21 +70,21 @@
     object_cache.apply(entry(Update::Present(5)));
     assert!(
         object_cache
-            .missing_from_listing("replicas/", &[], Revision(4))
+            .missing_from_listing("replicas/", &[], at(4))
             .is_empty()
     );
     assert_eq!(
-        object_cache.missing_from_listing("replicas/", &[], Revision(5)),
-        [key()]
+        object_cache.missing_from_listing("replicas/", &[], at(5)),
+        [&entry(Update::Present(5))]
     );
     assert!(
         object_cache
-            .missing_from_listing("replicas/", &[key()], Revision(9))
+            .missing_from_listing("replicas/", &[key()], at(9))
             .is_empty()
     );
     assert!(
         object_cache
-            .missing_from_listing("other/", &[], Revision(9))
+            .missing_from_listing("other/", &[], at(9))
             .is_empty()
     );
 }
@@ -91,7 +95,7 @@
     for at in 0..10_u64 {
         object_cache.apply(Entry {
             key: ObjectKey::new(format!("replicas/{at}")),
-            version: ObjectVersion(at),
+            version: self::at(at),
             state: EntryState::Present(Arc::from(vec![0; 100])),
         });
     }
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -44,6 +44,8 @@
     Fresh,
     /// The store confirmed them too long ago, or never.
     Stale,
+    /// They are of an earlier era of the store than the instance that asks knows.
+    EarlierEra,
     /// They came by way of the instance that asks.
     Loop,
     /// Their sender has lost contact with the instances that it follows.
@@ -191,6 +193,12 @@
                 .insert(now, addr, AvoidReason::CannotDelegate);
             return true;
         }
+        if freshness == Freshness::EarlierEra {
+            self.choice
+                .avoided
+                .insert(now, addr, AvoidReason::EarlierEra);
+            return true;
+        }
         if self.choice.avoided.are_all_stale(now) {
             return false;
         }
--- a/src/process/fleet/replica_registry.rs
+++ b/src/process/fleet/replica_registry.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 
-use super::object_cache::EntryState;
+use super::EntryState;
 use crate::process::{ObjectKey, Replicas};
 use crate::types::{ServiceName, Span, Timestamp, UpstreamName};
 use crate::version::{RouteTable, UpstreamSpec};
@@ -46,7 +46,7 @@
         entry: Option<ReplicaEntry>,
     ) -> Option<UpstreamName> {
         match (state, entry) {
-            (EntryState::Present(_), Some(entry)) => {
+            (EntryState::Present(_) | EntryState::Kept(..), Some(entry)) => {
                 let name = entry.spec.name.clone();
                 let leaving = entry.spec.leaving;
                 let listed = ListedReplica {
@@ -65,7 +65,9 @@
                 }
                 None
             }
-            (EntryState::Gone, _) | (EntryState::Present(_), None) => self.remove(key),
+            (EntryState::Gone, _) | (EntryState::Present(_) | EntryState::Kept(..), None) => {
+                self.remove(key)
+            }
         }
     }
 
--- /dev/null
+++ b/src/process/fleet/restore.rs
@@ -0,0 +1,86 @@
+//! What holds of an object once the store came back from an older copy.
+//!
+//! The store's order says which state it made last, and the copy was made before some of them were
+//! lost. The order of an object's own writer says which state is true; see `docs/ERAS.md`.
+
+use std::sync::Arc;
+
+use super::{Entry, EntryState, ObjectDecoder};
+use crate::types::Era;
+
+/// The order of an object's states by what its writer says in them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct WriterOrder {
+    /// The start of the writer's process, or 0 if that does not order the states.
+    pub(crate) started: u64,
+    /// Increases with each state that the process writes.
+    pub(crate) number: u64,
+}
+
+/// What is known of an object when a state of it arrives.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Known<'a> {
+    pub(super) entry: &'a Entry,
+    /// The last value before the object was deleted.
+    pub(super) last_value: Option<&'a Arc<[u8]>>,
+}
+
+/// Returns what holds at the version of `entry`: `entry` itself, unless it is older than what is
+/// known by the order of its writer. Only after the store came back from a copy can that be so.
+pub(super) fn reconcile(decoder: &dyn ObjectDecoder, known: Known<'_>, entry: Entry) -> Entry {
+    let is_kept = matches!(known.entry.state, EntryState::Kept(..));
+    let may_be_older = is_kept || is_of_earlier_era(known.entry, entry.version.era);
+    let Some(value) = entry.state.value().filter(|_| may_be_older) else {
+        return entry;
+    };
+    let order = |value: &Arc<[u8]>| decoder.writer_order(&entry.key, value);
+    let arrived = order(value);
+    let state = match &known.entry.state {
+        EntryState::Present(value) | EntryState::Kept(value, _) => {
+            let outlived = order(value).filter(|known| Some(*known) > arrived);
+            outlived.map(|order| EntryState::Kept(Arc::clone(value), order))
+        }
+        EntryState::Gone => {
+            let last = known.last_value.and_then(order);
+            let is_back = last.is_some() && arrived > last;
+            (!is_back).then_some(EntryState::Gone)
+        }
+        EntryState::Lapsed => None,
+    };
+    match state {
+        Some(state) => Entry { state, ..entry },
+        None => entry,
+    }
+}
+
+/// Returns what becomes of a known object that a listing of this era lacks; `deleted` is the state
+/// of one that the store has deleted.
+pub(super) fn state_of_missing(
+    decoder: &dyn ObjectDecoder,
+    known: &Entry,
+    era: Era,
+    deleted: &EntryState,
+) -> EntryState {
+    let is_earlier = is_of_earlier_era(known, era);
+    let is_kept = matches!(known.state, EntryState::Kept(..));
+    let value = known.state.value();
+    let outlives = (is_earlier || is_kept) && decoder.outlives_copy(&known.key);
+    let order = |value: &Arc<[u8]>| decoder.writer_order(&known.key, value);
+    match value.filter(|_| outlives) {
+        Some(value) => order(value).map_or(EntryState::Lapsed, |order| {
+            EntryState::Kept(Arc::clone(value), order)
+        }),
+        None if is_earlier => EntryState::Lapsed,
+        None => deleted.clone(),
+    }
+}
+
+/// Whether the store came back from a copy since a state was known. An instance of the version
+/// before states no era, which tells nothing.
+fn is_of_earlier_era(known: &Entry, era: Era) -> bool {
+    known.version.era != Era::default() && known.version.era < era
+}
+
+#[cfg(test)]
+#[path = "restore_tests.rs"]
+mod restore_tests;
--- a/src/process/fleet/slow_link_tests.rs
+++ b/src/process/fleet/slow_link_tests.rs
@@ -18,7 +18,7 @@
 use serde::Deserialize;
 use serde_json::json;
 
-use super::{DecodedObject, InstanceRecord, Node, NodeSettings, ObjectDecoder};
+use super::{DecodedObject, InstanceRecord, Node, NodeSettings, ObjectDecoder, WriterOrder};
 use crate::connection::accept_peers;
 use crate::connection::slow_link::slow_link;
 use crate::process::cells::{Member, MemberState};
@@ -246,6 +246,18 @@
         let table = RouteTable::new(version, Vec::new(), IndexMap::new(), limits);
         Ok(DecodedObject::Routes(table))
     }
+
+    fn writer_order(&self, _key: &ObjectKey, value: &[u8]) -> Option<WriterOrder> {
+        let config: ConfigWire = serde_json::from_slice(value).ok()?;
+        Some(WriterOrder {
+            started: 0,
+            number: config.version,
+        })
+    }
+
+    fn outlives_copy(&self, _key: &ObjectKey) -> bool {
+        true
+    }
 }
 
 #[derive(Debug)]
--- a/src/process/fleet/store_reader.rs
+++ b/src/process/fleet/store_reader.rs
@@ -7,9 +7,9 @@
 use indexmap::IndexMap;
 
 use super::outage::LastOutage;
-use super::{Entry, EntryState, Node, ObjectCache};
+use super::{Entry, EntryState, EntryVersion, Node, ObjectCache, ObjectDecoder, restore};
 use crate::process::{Backoff, Change, Changes, Listing, Object, ObjectKey, PlatformError};
-use crate::types::{ObjectVersion, Revision, Span};
+use crate::types::{Era, ObjectVersion, Revision, Span};
 
 /// How long a watch waits for changes. When a connection goes silent during a watch, its
 /// changes are delayed by this and by the timeout of a call.
@@ -29,8 +29,8 @@
 struct PrefixReader {
     node: Arc<Node>,
     prefix: &'static str,
-    /// The revision from which the watch continues; none before the first listing.
-    next_revision: Option<Revision>,
+    /// The era and the revision from which the watch continues; none before the first listing.
+    watch_from: Option<(Era, Revision)>,
     backoff: Backoff,
     outage: LastOutage,
 }
@@ -47,7 +47,7 @@
         Self {
             node: Arc::clone(node),
             prefix,
-            next_revision: None,
+            watch_from: None,
             backoff: Backoff::new(INITIAL_PAUSE, MAX_PAUSE),
             outage: LastOutage::default(),
         }
@@ -56,7 +56,7 @@
     async fn run(mut self) {
         loop {
             if !self.should_read() {
-                self.next_revision = None;
+                self.watch_from = None;
                 sleep(ROLE_CHECK_INTERVAL.as_duration()).await;
                 continue;
             }
@@ -75,21 +75,28 @@
 
     async fn read(&mut self) -> Result<(), PlatformError> {
         let node = Arc::clone(&self.node);
-        match self.next_revision {
+        match self.watch_from {
             None => {
                 self.begin_to_read();
                 let listing = node.platform.list(self.prefix).await?;
+                if !node.enter_era(listing.era) {
+                    return Err(PlatformError::EraChanged);
+                }
                 self.on_success();
-                self.next_revision = Some(listing.revision);
+                self.watch_from = Some((listing.era, listing.revision));
                 self.apply_listing(listing);
             }
-            Some(next_revision) => {
+            Some((era, revision)) => {
                 let changes = node
                     .platform
-                    .watch(self.prefix, next_revision, WATCH_WAIT)
+                    .watch(self.prefix, revision, WATCH_WAIT)
                     .await?;
+                // Revisions of another era may exist in this one too, and stand for other changes.
+                if changes.era != era || !node.enter_era(era) {
+                    return Err(PlatformError::EraChanged);
+                }
                 self.on_success();
-                self.next_revision = Some(changes.revision);
+                self.watch_from = Some((era, changes.revision));
                 if !changes.changes.is_empty() {
                     self.apply_changes(changes);
                     sleep(BATCHING_DELAY.as_duration()).await;
@@ -121,13 +128,26 @@
     }
 
     async fn on_failure(&mut self, error: &PlatformError) {
-        if *error == PlatformError::Compacted {
-            tracing::info!(
-                prefix = self.prefix,
-                "the watch revision was compacted; listing again"
-            );
-            self.next_revision = None;
-            return;
+        match error {
+            PlatformError::Compacted => {
+                tracing::info!(
+                    prefix = self.prefix,
+                    "the watch revision was compacted; listing again"
+                );
+                self.watch_from = None;
+                return;
+            }
+            PlatformError::EraChanged => {
+                tracing::info!(
+                    prefix = self.prefix,
+                    "the revisions are of another era of the store; listing again"
+                );
+                self.watch_from = None;
+                let pause = self.backoff.pause(&mut rand::rng());
+                sleep(pause.as_duration()).await;
+                return;
+            }
+            _ => {}
         }
         if self.outage.begin() {
             tracing::warn!(prefix = self.prefix, %error, "the store does not answer");
@@ -144,51 +164,60 @@
         let deleted = self.outage.deleted_state(self.node.clock.now());
         let entries = {
             let object_cache = self.node.object_cache.lock();
-            entries_of_listing(&object_cache, self.prefix, listing, &deleted)
+            let decoder = &*self.node.object_decoder;
+            entries_of_listing(&object_cache, decoder, self.prefix, listing, &deleted)
         };
         self.node.apply_entries(entries);
     }
 
     fn apply_changes(&self, changes: Changes) {
         let deleted = self.outage.deleted_state(self.node.clock.now());
+        let era = changes.era;
         for batch in batches(changes.changes) {
-            let entries = batch.into_iter().map(|change| entry_of(change, &deleted));
+            let entries = batch
+                .into_iter()
+                .map(|change| entry_of(change, era, &deleted));
             self.node.apply_entries(entries.collect());
         }
     }
 }
 
-/// Returns the entries of all listed objects, and of the known ones that the listing lacks. These
-/// were deleted at its revision at the latest, and a registration after it has a later version.
+/// Returns the entries of all listed objects, and of the known ones that the listing lacks. In the
+/// same era these were deleted at its revision at the latest, and a registration after it has a later
+/// version.
 fn entries_of_listing(
     object_cache: &ObjectCache,
+    decoder: &dyn ObjectDecoder,
     prefix: &str,
     listing: Listing,
     deleted: &EntryState,
 ) -> Vec<Entry> {
+    let era = listing.era;
     let keys: Vec<ObjectKey> = listing
         .objects
         .iter()
         .map(|object| object.key.clone())
         .collect();
-    let missing = object_cache.missing_from_listing(prefix, &keys, listing.revision);
-    let deletion = |key| Entry {
-        key,
-        version: ObjectVersion(listing.revision.0),
-        state: deleted.clone(),
-    };
-    let present = listing.objects.into_iter().map(present_entry);
-    present.chain(missing.into_iter().map(deletion)).collect()
+    let version = EntryVersion::new(era, ObjectVersion(listing.revision.0));
+    let missing = object_cache.missing_from_listing(prefix, &keys, version);
+    let missing = missing.into_iter().map(|known| Entry {
+        key: known.key.clone(),
+        version,
+        state: restore::state_of_missing(decoder, known, era, deleted),
+    });
+    let objects = listing.objects.into_iter();
+    let present = objects.map(|object| present_entry(object, era));
+    present.chain(missing).collect()
 }
 
 /// Returns the entry of a change. The version at which an object was deleted orders the deletion
 /// among its registrations, whichever of them is known already.
-fn entry_of(change: Change, deleted: &EntryState) -> Entry {
+fn entry_of(change: Change, era: Era, deleted: &EntryState) -> Entry {
     match change.object {
-        Some(object) => present_entry(object),
+        Some(object) => present_entry(object, era),
         None => Entry {
             key: change.key,
-            version: change.version,
+            version: EntryVersion::new(era, change.version),
             state: deleted.clone(),
         },
     }
@@ -210,10 +239,10 @@
     batches.into_iter().map(values).collect()
 }
 
-fn present_entry(object: Object) -> Entry {
+fn present_entry(object: Object, era: Era) -> Entry {
     Entry {
         key: object.key,
-        version: object.version,
+        version: EntryVersion::new(era, object.version),
         state: EntryState::Present(Arc::from(object.value)),
     }
 }
--- a/src/process/fleet/store_reader_tests.rs
+++ b/src/process/fleet/store_reader_tests.rs
@@ -10,10 +10,12 @@
 use super::{PrefixReader, batches, entries_of_listing, entry_of, present_entry};
 use crate::process::fleet::delegate::UpdateRole;
 use crate::process::fleet::slow_link_tests::start_node_with;
-use crate::process::fleet::{DecodedObject, EntryState, ObjectCache, ObjectDecoder};
+use crate::process::fleet::{DecodedObject, EntryState, ObjectCache, ObjectDecoder, WriterOrder};
 use crate::process::platform::fake::FakePlatform;
 use crate::process::{Change, Listing, Object, ObjectKey, PlatformError};
-use crate::types::{ObjectVersion, Position, Revision};
+use crate::types::{Era, ObjectVersion, Position, Revision};
+
+const ERA: Era = Era(1);
 
 struct Case {
     /// The keys that change, in order; a leading minus marks a deletion.
@@ -122,7 +124,7 @@
     let mut object_cache = ObjectCache::new(1);
     for step in case.steps {
         let entries = match *step {
-            Step::Passed(version) => vec![present_entry(object(version))],
+            Step::Passed(version) => vec![present_entry(object(version), ERA)],
             Step::Watched(changes) => {
                 let change = |watched: &Watched| match *watched {
                     Watched::Present(version) => (version, Some(object(version))),
@@ -133,14 +135,17 @@
                     version: ObjectVersion(version),
                     object,
                 });
-                changes.map(|change| entry_of(change, &deleted)).collect()
+                changes
+                    .map(|change| entry_of(change, ERA, &deleted))
+                    .collect()
             }
             Step::ListedWithout(revision) => {
                 let listing = Listing {
+                    era: ERA,
                     revision: Revision(revision),
                     objects: Vec::new(),
                 };
-                entries_of_listing(&object_cache, "servers", listing, &deleted)
+                entries_of_listing(&object_cache, &NoObjects, "servers", listing, &deleted)
             }
         };
         for entry in entries {
@@ -151,7 +156,7 @@
     let present = known
         .iter()
         .find(|entry| matches!(entry.state, EntryState::Present(_)));
-    assert_eq!(present.map(|entry| entry.version.0), case.present);
+    assert_eq!(present.map(|entry| entry.version.object.0), case.present);
 }
 
 /// Lets an instance follow no objects, so that only the test reads the store.
@@ -166,6 +171,14 @@
     fn read(&self, _key: &ObjectKey, _value: &[u8]) -> Result<DecodedObject, PlatformError> {
         Err(PlatformError::Protocol("no object is used".to_owned()))
     }
+
+    fn writer_order(&self, _key: &ObjectKey, _value: &[u8]) -> Option<WriterOrder> {
+        None
+    }
+
+    fn outlives_copy(&self, _key: &ObjectKey) -> bool {
+        false
+    }
 }
 
 struct TakeoverCase {
@@ -189,7 +202,7 @@
         let decoder = Box::new(NoObjects);
         let node = start_node_with("n", addr, Vec::new(), Arc::clone(&store), decoder);
         // Learned from another instance, so that the store has not confirmed it here.
-        node.apply_entries(vec![present_entry(object(version.0))]);
+        node.apply_entries(vec![present_entry(object(version.0), Era::default())]);
         store.remove("servers/a");
         if let Some(role) = case.asked_by {
             let (now, other) = (node.clock.now(), "other".parse().unwrap());
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -52,7 +52,8 @@
                 .await
                 .ok();
         }
-        let updates = self.updates_since(me, objects, members, chunks);
+        let mut updates = self.updates_since(me, objects, members, chunks);
+        updates.era = updates.era.filter(|_| follow.knows_eras);
         self.engine.metrics.members.sent_update(updates.size());
         updates
     }
@@ -80,9 +81,10 @@
         };
         let poison = self.engine.tables.suspects.lock().poison_requests(now);
         let silent = self.silence.lock().agreed(now);
-        let (age, changes, chunks) = {
+        let (era, age, changes, chunks) = {
             let object_cache = self.object_cache.lock();
             (
+                object_cache.era(),
                 object_cache.age(now).filter(|_| !has_lost_contact),
                 object_cache.since(objects, MAX_OBJECT_BYTES),
                 object_cache.requested_chunks(chunks, MAX_OBJECT_BYTES),
@@ -93,6 +95,7 @@
         Updates {
             from,
             of,
+            era: Some(era),
             age,
             via,
             objects: changes.entries,
--- a/src/process/member_metrics.rs
+++ b/src/process/member_metrics.rs
@@ -6,7 +6,7 @@
 
 use super::fleet::Freshness;
 use super::members::{Members, Readiness, Role};
-use crate::types::Timestamp;
+use crate::types::{Era, Timestamp};
 
 /// How a request for updates to another instance ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,6 +16,8 @@
     Stale,
     /// The updates had passed through this instance before.
     Loop,
+    /// The updates are of an earlier era of the store than this instance knows.
+    EarlierEra,
     /// Their sender has lost contact with the instances that it follows.
     Disconnected,
     /// No complete reply came.
@@ -27,6 +29,7 @@
         match freshness {
             Freshness::Fresh => Self::Applied,
             Freshness::Stale => Self::Stale,
+            Freshness::EarlierEra => Self::EarlierEra,
             Freshness::Loop => Self::Loop,
             Freshness::Disconnected => Self::Disconnected,
         }
@@ -38,6 +41,7 @@
         match self {
             Self::Applied => "applied",
             Self::Stale => "stale",
+            Self::EarlierEra => "earlier-era",
             Self::Loop => "loop",
             Self::Disconnected => "disconnected",
             Self::Failed => "failed",
@@ -62,6 +66,7 @@
     updates: Counter<u64>,
     update_bytes: Counter<u64>,
     sent_update_bytes: Counter<u64>,
+    era: Gauge<u64>,
 }
 
 impl MemberMetrics {
@@ -72,6 +77,7 @@
             live: gauge("hyssopwalk_live_instances"),
             leading: gauge("hyssopwalk_leading"),
             epoch: gauge("hyssopwalk_cell_epoch"),
+            era: gauge("hyssopwalk_store_era"),
             lease_left: meter.f64_gauge("hyssopwalk_lease_left_seconds").build(),
             config: gauge("hyssopwalk_config_version"),
             ready: gauge("hyssopwalk_ready"),
@@ -103,6 +109,11 @@
         self.ready.record(u64::from(ready), &[]);
     }
 
+    /// Records the era of the store.
+    pub(crate) fn entered_era(&self, era: Era) {
+        self.era.record(era.0, &[]);
+    }
+
     pub(crate) fn took_lease(&self) {
         self.leases.add(1, &[]);
     }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -110,9 +110,9 @@
 pub(crate) use dispatch::Job;
 pub(crate) use engine::{Engine, LegTransport, Workers};
 pub(crate) use fleet::{
-    Chunk, DecodedObject, Entry, EntryState, FollowReason, FollowRequest, InstanceRecord,
-    LargeObject, Node, NodeSettings, ObjectDecoder, ReplicaEntry, RouteRequest, RouteResponse,
-    SilenceReport, SilentReplica, Updates,
+    Chunk, DecodedObject, Entry, EntryState, EntryVersion, FollowReason, FollowRequest,
+    InstanceRecord, LargeObject, Node, NodeSettings, ObjectDecoder, ReplicaEntry, RouteRequest,
+    RouteResponse, SilenceReport, SilentReplica, Updates, WriterOrder,
 };
 pub(crate) use instance::Instance;
 pub(crate) use latency::ClassLatency;
--- a/src/process/platform/fake.rs
+++ b/src/process/platform/fake.rs
@@ -9,13 +9,14 @@
 use serde_json::Value;
 
 use super::{
-    Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion, Platform,
-    PlatformError, Revision, Span,
+    Change, Changes, Era, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion,
+    Platform, PlatformError, Revision, Span,
 };
 
 #[path = "fake_store.rs"]
 mod store;
 
+use store::StoreCopy;
 use store::{Call, Store, consume};
 pub(crate) use store::{Calls, Faults, Rates};
 
@@ -83,6 +84,26 @@
         self.store.lock().compact();
     }
 
+    /// Begins the first era. Until then, the store states none.
+    pub(crate) fn begin_eras(&self) {
+        self.store.lock().era = 1;
+    }
+
+    /// Returns the era, or 0 if the store states none.
+    pub(crate) fn era(&self) -> u64 {
+        self.store.lock().era
+    }
+
+    /// Returns a copy of the store, from which it may come back.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        self.store.lock().copy()
+    }
+
+    /// Brings the store back from a copy. Everything that was written since is lost.
+    pub(crate) fn restore(&self, copy: StoreCopy) {
+        self.store.lock().restore(copy);
+    }
+
     /// Returns the number of calls so far.
     pub(crate) fn calls(&self) -> Calls {
         self.store.lock().calls
--- a/src/process/platform/fake_store.rs
+++ b/src/process/platform/fake_store.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use serde_json::Value;
 
-use super::{Change, Changes, Object, ObjectKey, ObjectVersion, PlatformError, Revision};
+use super::{Change, Changes, Era, Object, ObjectKey, ObjectVersion, PlatformError, Revision};
 use super::{ListedInstance, Listing};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -55,12 +55,21 @@
     Watch,
 }
 
-#[derive(Debug, Default)]
-pub(super) struct Store {
+/// What a copy of the store holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StoreCopy {
     revision: u64,
     compacted: u64,
     objects: BTreeMap<String, (u64, Vec<u8>)>,
     history: Vec<(u64, String)>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Store {
+    /// Everything that is lost when the store comes back from a copy.
+    copied: StoreCopy,
+    /// The number of the era, or 0 if the store states none.
+    pub(super) era: u64,
     pub(super) instances: Vec<(Instant, Vec<ListedInstance>)>,
     pub(super) instances_lag: Duration,
     pub(super) conflicting_writes: VecDeque<(String, Value)>,
@@ -109,14 +118,19 @@
     }
 
     pub(super) fn write(&mut self, key: &str, value: Option<Vec<u8>>) -> u64 {
-        self.revision += 1;
-        self.history.push((self.revision, key.to_owned()));
+        self.copied.revision += 1;
+        self.copied
+            .history
+            .push((self.copied.revision, key.to_owned()));
         match value {
-            Some(value) => self.objects.insert(key.to_owned(), (self.revision, value)),
-            None => self.objects.remove(key),
+            Some(value) => self
+                .copied
+                .objects
+                .insert(key.to_owned(), (self.copied.revision, value)),
+            None => self.copied.objects.remove(key),
         };
         self.watchers.clear();
-        self.revision
+        self.copied.revision
     }
 
     pub(super) fn write_if(
@@ -132,7 +146,7 @@
         if consume(&mut self.faults.lose_writes) {
             return Err(outcome_unknown());
         }
-        let found = self.objects.get(key).map(|(version, _)| *version);
+        let found = self.copied.objects.get(key).map(|(version, _)| *version);
         if found != expected.map(|version| version.0) {
             return Err(PlatformError::Conflict);
         }
@@ -144,7 +158,7 @@
     }
 
     pub(super) fn object(&self, key: &str) -> Option<Object> {
-        let (version, value) = self.objects.get(key)?;
+        let (version, value) = self.copied.objects.get(key)?;
         Some(Object {
             key: ObjectKey::new(key),
             version: ObjectVersion(*version),
@@ -153,15 +167,31 @@
     }
 
     pub(super) fn list(&self, prefix: &str) -> Listing {
-        let objects = self.objects.keys().filter_map(|key| self.object(key));
+        let objects = self
+            .copied
+            .objects
+            .keys()
+            .filter_map(|key| self.object(key));
         Listing {
-            revision: Revision(self.revision),
+            era: Era(self.era),
+            revision: Revision(self.copied.revision),
             objects: objects
                 .filter(|object| object.key.is_under(prefix))
                 .collect(),
         }
     }
 
+    pub(super) fn copy(&self) -> StoreCopy {
+        self.copied.clone()
+    }
+
+    /// Comes back from a copy, which begins an era. Watches that wait go on in it.
+    pub(super) fn restore(&mut self, copy: StoreCopy) {
+        self.copied = copy;
+        self.era += 1;
+        self.wake_watches();
+    }
+
     /// Returns the newest list of instances that is at least as old as the lag.
     pub(super) fn listed_instances(&self) -> Vec<ListedInstance> {
         let old_enough = |since: &Instant| since.elapsed() >= self.instances_lag;
@@ -184,7 +214,8 @@
         if self.faults.down {
             return Err(unreachable());
         }
-        if from.0 < self.compacted {
+        let is_lost = from.0 > self.copied.revision;
+        if from.0 < self.copied.compacted || is_lost {
             return Err(PlatformError::Compacted);
         }
         let changes = self.changes_since(prefix, from);
@@ -192,14 +223,15 @@
             self.watchers.push(watcher);
         }
         Ok(Changes {
-            revision: Revision(self.revision),
+            era: Era(self.era),
+            revision: Revision(self.copied.revision),
             changes,
         })
     }
 
     fn changes_since(&self, prefix: &str, from: Revision) -> Vec<Change> {
         let mut latest: IndexMap<ObjectKey, u64> = IndexMap::new();
-        for (revision, key) in &self.history {
+        for (revision, key) in &self.copied.history {
             let key = ObjectKey::new(key);
             if *revision > from.0 && key.is_under(prefix) {
                 latest.insert(key, *revision);
@@ -216,8 +248,8 @@
     }
 
     pub(super) fn compact(&mut self) {
-        self.compacted = self.revision;
-        self.history.clear();
+        self.copied.compacted = self.copied.revision;
+        self.copied.history.clear();
         self.wake_watches();
     }
 
--- a/src/process/platform/mod.rs
+++ b/src/process/platform/mod.rs
@@ -19,7 +19,7 @@
 
 use futures::future::BoxFuture;
 
-use crate::types::{FailureDomain, InstanceName, ObjectVersion, Region, Revision, Span};
+use crate::types::{Era, FailureDomain, InstanceName, ObjectVersion, Region, Revision, Span};
 
 /// The key of an object: its kind and name, joined by `/`. The name may contain `/`.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -95,6 +95,8 @@
 /// All objects under a prefix at one revision.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Listing {
+    /// The era in which the store has these objects.
+    pub era: Era,
     /// The revision from which to start a watch.
     pub revision: Revision,
     /// The objects, ordered by key.
@@ -115,6 +117,9 @@
 /// The changes since a revision; empty when the wait timed out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Changes {
+    /// The era of the revisions. In another one than that of the revision that the watch began
+    /// from, the changes follow from nothing.
+    pub era: Era,
     /// The revision from which to start the next watch.
     pub revision: Revision,
     /// The changes in order.
@@ -148,6 +153,9 @@
     /// The platform no longer keeps the changes since that revision.
     #[error("the change log no longer reaches back to that revision")]
     Compacted,
+    /// The store came back from an older copy during the call, or before it answered.
+    #[error("the store came back from an older copy meanwhile")]
+    EraChanged,
     /// The value exceeds the platform's size limit; the write had no effect.
     #[error("the value exceeds the platform's size limit")]
     TooLarge,
@@ -176,6 +184,7 @@
         match self {
             Self::Conflict
             | Self::Compacted
+            | Self::EraChanged
             | Self::TooLarge
             | Self::Busy
             | Self::Rejected(_)
--- a/src/types/id.rs
+++ b/src/types/id.rs
@@ -38,6 +38,11 @@
     /// A position in the platform's sequence of all changes, from which a watch can resume.
     Revision, u64, "a revision"
 }
+number! {
+    /// The time between two restorations of the platform's store, in which its revisions only
+    /// increase. A store that states no era has one for ever; see `docs/ERAS.md`.
+    Era, u64, "an era"
+}
 
 number! {
     /// The fencing token of a cell's lease, incremented whenever an instance takes the lease.
--- a/src/types/mod.rs
+++ b/src/types/mod.rs
@@ -19,7 +19,7 @@
 
 pub(crate) use id::ChunkId;
 pub use id::{
-    CellSeq, ChangeId, ChangeNumber, ConfigVersion, Epoch, Fingerprint, Incarnation, LegId,
+    CellSeq, ChangeId, ChangeNumber, ConfigVersion, Epoch, Era, Fingerprint, Incarnation, LegId,
     ObjectVersion, Position, QueryId, Revision, ShardId, SnapshotId,
 };
 pub use key::{Coverage, KeyRange};
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -59,6 +59,9 @@
 pub(crate) struct Instance {
     /// The address that callers connect to.
     pub(crate) front: SocketAddr,
+    /// The address that other instances connect to.
+    #[allow(dead_code, reason = "only tests/store_drill.rs uses it")]
+    pub(crate) control: SocketAddr,
     settings: PathBuf,
     /// The proxy to the store.
     pub(crate) store: Proxy,
@@ -130,6 +133,7 @@
             std::fs::write(&path, settings.to_string()).expect("the settings are written");
             let mut instance = Instance {
                 front: own_addrs[0],
+                control: own_addrs[2],
                 settings: path,
                 store: proxy,
                 child: None,
@@ -204,9 +208,15 @@
         }
     }
 
-    /// Publishes a newer configuration that uses the other set of shards.
+    /// Publishes a newer configuration that uses the other set of shards, and whose last route
+    /// names the version.
     pub(crate) fn change_config(&mut self) {
         self.version += 3;
+        self.write_config();
+    }
+
+    /// Writes the newest configuration.
+    pub(crate) fn write_config(&self) {
         let shards = SHARD_SETS[usize::try_from(self.version / 3 % 2).expect("0 or 1")];
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({
@@ -223,6 +233,8 @@
         one["service"] = json!(SINGLE_SERVICE);
         let mut order = route("order", "/order/", "unsafe");
         order["service"] = json!(SINGLE_SERVICE);
+        let mut added = route("added", &format!("/v{}/", self.version), "safe");
+        added["service"] = json!(SINGLE_SERVICE);
         let services = SHARD_SETS
             .into_iter()
             .flatten()
@@ -232,7 +244,7 @@
             .map(|name| json!({"name": name, "health_path": "/health", "max_connections": 60}))
             .collect();
         let config = json!({
-            "version": self.version, "routes": [gather, one, order], "services": services,
+            "version": self.version, "routes": [gather, one, order, added], "services": services,
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": self.sizes.max_body_bytes,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
--- a/tests/standin/contract.rs
+++ b/tests/standin/contract.rs
@@ -92,6 +92,7 @@
     Keys(Vec<String>),
     Conflict,
     Compacted,
+    EraChanged,
     TooLarge,
     Rejected,
     Busy,
@@ -106,6 +107,7 @@
     match error {
         PlatformError::Conflict => StepResult::Conflict,
         PlatformError::Compacted => StepResult::Compacted,
+        PlatformError::EraChanged => StepResult::EraChanged,
         PlatformError::TooLarge => StepResult::TooLarge,
         PlatformError::Busy => StepResult::Busy,
         PlatformError::Rejected(_) => StepResult::Rejected,
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -154,12 +154,16 @@
         if number < self.connections.cut_below.load(Ordering::SeqCst) {
             return Err(tide::http::Error::from_str(500, "the connection is cut"));
         }
-        let res = match self.handle(req).await {
+        let mut res = match self.handle(req).await {
             Ok(Value::Null) => Response::new(404),
             Ok(value) => response(200, Body::from_json(&value)?),
             Err(error) => response(status(&error), Body::from_string(error.to_string())),
         };
         self.hang_if_silenced(number).await;
+        let era = self.fake.era();
+        if era > 0 {
+            res.insert_header("Store-Era", era.to_string());
+        }
         Ok(res)
     }
 
@@ -249,7 +253,9 @@
         let wait = parameter(req, "wait_ms").and_then(|wait| wait.parse().ok());
         let wait = Span::from_millis(wait.unwrap_or_default());
         let from = Revision(from.parse().unwrap_or_default());
-        let Changes { revision, changes } = self.fake.watch(kind, from, wait).await?;
+        let Changes {
+            revision, changes, ..
+        } = self.fake.watch(kind, from, wait).await?;
         let events: Vec<Value> = changes.iter().map(event).collect();
         Ok(json!({ "events": events, "current_rev": revision.0 }))
     }
--- a/tests/standin/platform_state.rs
+++ b/tests/standin/platform_state.rs
@@ -3,8 +3,8 @@
 //! The fake imports these names from its parent module.
 
 use hyssopwalk::{
-    Change, Changes, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion, Platform,
-    PlatformError, Revision, Span,
+    Change, Changes, Era, Expected, ListedInstance, Listing, Object, ObjectKey, ObjectVersion,
+    Platform, PlatformError, Revision, Span,
 };
 
 #[path = "../../src/process/platform/fake.rs"]
--- a/tests/standin/platform_wire.rs
+++ b/tests/standin/platform_wire.rs
@@ -31,7 +31,7 @@
 pub(super) fn status(error: &PlatformError) -> StatusCode {
     match error {
         PlatformError::Conflict => StatusCode::Conflict,
-        PlatformError::Compacted => StatusCode::Gone,
+        PlatformError::Compacted | PlatformError::EraChanged => StatusCode::Gone,
         PlatformError::TooLarge => StatusCode::PayloadTooLarge,
         PlatformError::Busy => StatusCode::TooManyRequests,
         PlatformError::Rejected(_) => StatusCode::BadRequest,
