Let the evidence for refusing queries fade while they are refused

What callers saw: a route with a timeout below 1.75 s was refused with 503 for minutes after its upstreams were well again. The users' record shows several instances that refuse with one estimate of a leg, the middle of the histogram's last bucket, for many seconds.

Cause: the histogram of a class forgets by the number of legs. What is refused sends none, and one query in sixteen is let through, so that with few queries as many quick legs as slow ones take minutes.

The fix: while queries are refused, samples lose half of their weight in 2 s, down to the eight that an estimate needs, and one query every half second is tried.

Tried on the way: the real process with a timeout of 2 s does not show it, since the last bucket ends below what is left.

--- a/src/process/latency.rs
+++ b/src/process/latency.rs
@@ -6,13 +6,18 @@
 //! weight is spread over the buckets above its age, as in the Kaplan-Meier estimator. See
 //! `docs/DESIGN.md`, "Stragglers".
 
-use crate::types::Span;
+use crate::types::{Span, Timestamp};
 
 const BUCKETS: usize = 24;
 const FIRST_EDGE_MICROS: f32 = 500.0;
 const BUCKETS_PER_OCTAVE: f32 = 2.0;
 const MIN_SAMPLES: f32 = 8.0;
 const HALVE_AT_SAMPLES: f32 = 512.0;
+/// While queries are refused, few legs bring new evidence, so the old evidence loses half of its
+/// weight in this time.
+const REFUSAL_HALF_LIFE: Span = Span::from_secs(2);
+/// How often at least a query is tried while others are refused.
+const TRIAL_INTERVAL: Span = Span::from_millis(500);
 
 /// A histogram of the latencies of the last few hundred legs; older ones weigh less.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +36,44 @@
     pub(crate) excess: Latency,
     /// The time that a leg waited for capacity before it was sent.
     pub(crate) waits: Latency,
+    refusals: Option<Refusals>,
+}
+
+/// The refusals of queries that could not finish, by the latencies of their class.
+#[derive(Clone, Copy, Debug)]
+struct Refusals {
+    last: Timestamp,
+    last_trial: Timestamp,
+}
+
+impl ClassLatency {
+    /// Whether the last query of the class was refused.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusals.is_some()
+    }
+
+    /// Records that a query can finish by these latencies.
+    pub(crate) fn stop_refusing(&mut self) {
+        self.refusals = None;
+    }
+
+    /// Records that a query cannot finish by these latencies. Returns whether it is to be tried all
+    /// the same.
+    pub(crate) fn refuse(&mut self, now: Timestamp) -> bool {
+        let refusals = self.refusals.get_or_insert(Refusals {
+            last: now,
+            last_trial: now,
+        });
+        let elapsed = now.since(refusals.last);
+        refusals.last = now;
+        let is_trial = now.since(refusals.last_trial) >= TRIAL_INTERVAL;
+        if is_trial {
+            refusals.last_trial = now;
+        }
+        self.legs.fade(elapsed);
+        self.waits.fade(elapsed);
+        is_trial
+    }
 }
 
 impl Latency {
@@ -75,6 +118,19 @@
         Some(span(lower_edge(BUCKETS)))
     }
 
+    /// Takes weight from the samples as time passes. What remains is enough for a quantile.
+    fn fade(&mut self, elapsed: Span) {
+        let half_lives = elapsed
+            .as_duration()
+            .div_duration_f32(REFUSAL_HALF_LIFE.as_duration());
+        let faded = (self.total * (-half_lives).exp2()).max(MIN_SAMPLES);
+        if faded < self.total {
+            let factor = faded / self.total;
+            self.counts.iter_mut().for_each(|count| *count *= factor);
+            self.total = faded;
+        }
+    }
+
     fn add_to_total(&mut self) {
         self.total += 1.0;
         if self.total >= HALVE_AT_SAMPLES {
--- a/src/request/admit.rs
+++ b/src/request/admit.rs
@@ -93,7 +93,8 @@
 
 /// Admits a query unless half of its legs would still be waiting or in flight at the
 /// deadline, judging by the latest legs of the class. A share of the queries that fail
-/// this check but have time left is admitted anyway, so that a recovery is noticed.
+/// this check but have time left is admitted anyway, and one in a while where few come, so that a
+/// recovery is noticed.
 ///
 /// # Errors
 /// [`ErrorKind::CannotFinish`], which states that the query was not run.
@@ -108,9 +109,20 @@
         .unwrap_or(Span::ZERO);
     let needed = Span(wait.0 + hedge::median_latency(latency).0);
     let left = deadline.since(cx.now);
-    let has_time_left = left > Span::ZERO;
-    if has_time_left && (needed <= left || cx.rng.random::<f64>() < PROBE_RATIO) {
-        return Ok(());
+    if left > Span::ZERO {
+        let is_refusing = latency.is_some_and(ClassLatency::is_refusing);
+        let can_finish = needed <= left;
+        if can_finish && !is_refusing {
+            return Ok(());
+        }
+        let latency = cx.upstreams.class_mut(&class.name);
+        if can_finish {
+            latency.stop_refusing();
+            return Ok(());
+        }
+        if latency.refuse(cx.now) || cx.rng.random::<f64>() < PROBE_RATIO {
+            return Ok(());
+        }
     }
     Err(Refusal::new(
         ErrorKind::CannotFinish,
--- a/tests/endless_bytes.rs
+++ b/tests/endless_bytes.rs
@@ -39,6 +39,7 @@
     slots: 60,
     memory_mb: MEMORY_MB,
     max_body_bytes: 1 << 20,
+    timeout_ms: 2_000,
 };
 const FLOOD: Duration = Duration::from_secs(4);
 /// Callers whose requests go to the replicas that misbehave.
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -41,6 +41,8 @@
     pub(crate) memory_mb: u32,
     /// The longest body that a caller may send.
     pub(crate) max_body_bytes: usize,
+    /// The timeout of all routes.
+    pub(crate) timeout_ms: u32,
 }
 
 impl Default for Sizes {
@@ -50,6 +52,7 @@
             slots: 2,
             memory_mb: 260,
             max_body_bytes: 65_536,
+            timeout_ms: 2_000,
         }
     }
 }
@@ -221,7 +224,7 @@
         let route = |name: &str, prefix: &str, kind: &str| {
             json!({
                 "name": name, "host": HOST, "path_prefix": prefix, "route_type": kind,
-                "timeout_ms": 2000, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
+                "timeout_ms": self.sizes.timeout_ms, "target_latency_ms": 300, "priority": 1, "max_attempts": 2,
             })
         };
         let mut gather = route("g", "/g/", "safe");
