Take nothing from instances that know an earlier era only; drills in the soak

Reading the change again: the updates of an instance that has not heard of the present era were applied entry by entry. An object that the reader of this era never knew would have stayed in use, since its listing had come before. Such updates are now left out whole, and asked for again once their sender knows the era; the cases of_an_earlier_era and of_the_version_before of follow_tests show that they confirm nothing. A sender that is avoided for its era is told of a newer record of this instance, as one that is avoided for its age, so that it does not take it for gone.

The soak draws drills from a generator of their own, so that its seeds go on to mean the same other faults.

--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -40,14 +40,16 @@
 
 impl Progress {
     /// Returns the progress after an answer from the process of this incarnation. A process
-    /// that started in the meantime knows nothing of what was sent to its predecessor.
+    /// that started in the meantime knows nothing of what was sent to its predecessor, and its
+    /// positions are others.
     fn after_answer(self, of: Incarnation) -> Self {
-        let sent = if of == self.of {
-            self.sent
-        } else {
-            Position::default()
-        };
-        Self { of, sent, ..self }
+        if of == self.of {
+            return self;
+        }
+        Self {
+            of,
+            ..Self::default()
+        }
     }
 }
 
@@ -255,14 +257,20 @@
     }
     mark_poison(node, &updates.poison);
     node.accept_agreed_silence(updates.silent);
-    let is_latest_era = node.enter_era(updates.era.unwrap_or_default());
+    let progress = Progress {
+        members: updates.members_to,
+        ..progress.after_answer(updates.of)
+    };
+    if !node.enter_era(updates.era.unwrap_or_default()) {
+        return progress;
+    }
     let is_complete = updates.is_complete;
     let (age, via) = (updates.age, updates.via);
     let has_everything = node.apply_objects(updates.objects, updates.large, &updates.chunks);
     // A probe is answered without objects, so it says nothing of those that are known here.
     let has_objects = reason != FollowReason::Looks;
     if has_objects && !is_loop {
-        if let Some(age) = age.filter(|_| is_latest_era) {
+        if let Some(age) = age {
             node.fleet.lock().on_store_confirmed(now);
             node.confirm(age, is_complete && has_everything);
         }
@@ -270,8 +278,7 @@
     }
     Progress {
         objects: updates.objects_to,
-        members: updates.members_to,
-        ..progress.after_answer(updates.of)
+        ..progress
     }
 }
 
--- a/src/process/fleet/follow_tests.rs
+++ b/src/process/fleet/follow_tests.rs
@@ -38,17 +38,23 @@
 
 struct AgeCase {
     reason: FollowReason,
+    /// The era of the updates. The instance itself has read the store in era 1.
+    era: Option<Era>,
     counts_as_confirmed: bool,
 }
 
 /// Guards against an instance that is cut off from the store and counts its old configuration as
 /// confirmed, because another one said when the store confirmed objects that it did not send.
 #[rstest]
-#[case::updates_of_the_parent(AgeCase { reason: FollowReason::Follows, counts_as_confirmed: true })]
-#[case::a_probe_without_objects(AgeCase { reason: FollowReason::Looks, counts_as_confirmed: false })]
+#[case::updates_of_the_parent(AgeCase { reason: FollowReason::Follows, era: Some(Era(1)), counts_as_confirmed: true })]
+#[case::of_a_later_era(AgeCase { reason: FollowReason::Follows, era: Some(Era(2)), counts_as_confirmed: true })]
+#[case::of_an_earlier_era(AgeCase { reason: FollowReason::Follows, era: Some(Era(0)), counts_as_confirmed: false })]
+#[case::of_the_version_before(AgeCase { reason: FollowReason::Follows, era: None, counts_as_confirmed: false })]
+#[case::a_probe_without_objects(AgeCase { reason: FollowReason::Looks, era: Some(Era(1)), counts_as_confirmed: false })]
 fn only_updates_with_all_objects_confirm_those_that_are_known(#[case] case: AgeCase) {
     block_on(async {
         let store = Arc::new(FakePlatform::default());
+        store.begin_eras();
         store.set("config/main", &json!({"version": 1}));
         let addr = SocketAddr::from(([127, 0, 2, 1], 1));
         let node = start_node("cut-off", addr, Vec::new(), Arc::clone(&store));
@@ -58,7 +64,11 @@
         store.faults(|faults| faults.down = true);
         sleep(Duration::from_millis(300)).await;
         let before = age(&node);
-        apply_updates(&node, case.reason, Progress::default(), updates(&node));
+        let updates = Updates {
+            era: case.era,
+            ..updates(&node)
+        };
+        apply_updates(&node, case.reason, Progress::default(), updates);
         assert_eq!(age(&node) < before, case.counts_as_confirmed);
     });
 }
--- a/src/process/fleet/parent.rs
+++ b/src/process/fleet/parent.rs
@@ -193,16 +193,12 @@
                 .insert(now, addr, AvoidReason::CannotDelegate);
             return true;
         }
-        if freshness == Freshness::EarlierEra {
-            self.choice
-                .avoided
-                .insert(now, addr, AvoidReason::EarlierEra);
-            return true;
-        }
-        if self.choice.avoided.are_all_stale(now) {
-            return false;
-        }
-        self.choice.avoided.insert(now, addr, AvoidReason::Stale);
+        let reason = match freshness {
+            Freshness::EarlierEra => AvoidReason::EarlierEra,
+            _ if self.choice.avoided.are_all_stale(now) => return false,
+            _ => AvoidReason::Stale,
+        };
+        self.choice.avoided.insert(now, addr, reason);
         self.publish(now);
         true
     }
--- a/src/process/platform/fake.rs
+++ b/src/process/platform/fake.rs
@@ -16,9 +16,8 @@
 #[path = "fake_store.rs"]
 mod store;
 
-use store::StoreCopy;
 use store::{Call, Store, consume};
-pub(crate) use store::{Calls, Faults, Rates};
+pub(crate) use store::{Calls, Faults, Rates, StoreCopy};
 
 const MAX_VALUE_BYTES: usize = 1 << 20;
 
--- a/tests/soak/deployment.rs
+++ b/tests/soak/deployment.rs
@@ -15,7 +15,7 @@
 
 use super::proxy::Proxy;
 use super::replica::{Replica, ReplicaMode, Runs};
-use super::standin::platform::Platform;
+use super::standin::platform::{Platform, StoreCopy};
 
 pub(crate) const HOST: &str = "soak.example";
 pub(crate) const INSTANCES: usize = 3;
@@ -85,6 +85,8 @@
     pub(crate) replicas: Vec<ProxiedReplica>,
     pub(crate) runs: Runs,
     pub(crate) version: u64,
+    /// A copy of the store, from which it may come back.
+    copy: Option<StoreCopy>,
     sizes: Sizes,
     /// The incarnation number of the replica started last.
     last_incarnation: u64,
@@ -105,6 +107,7 @@
             replicas: Vec::new(),
             runs,
             version: 0,
+            copy: None,
             sizes,
             last_incarnation: 1,
         };
@@ -174,6 +177,24 @@
         self.store.remove(&key);
     }
 
+    /// Copies the store.
+    #[allow(dead_code, reason = "only the soak uses it")]
+    pub(crate) fn copy_store(&mut self) {
+        self.copy = Some(self.store.state().copy());
+    }
+
+    /// Brings the store back from the copy, if there is one. The operator and the replicas write
+    /// again what they wrote.
+    #[allow(dead_code, reason = "only the soak uses it")]
+    pub(crate) fn restore_store(&mut self) {
+        let Some(copy) = self.copy.take() else {
+            return;
+        };
+        self.store.state().restore(copy);
+        self.write_config();
+        (0..self.replicas.len()).for_each(|at| self.register(at));
+    }
+
     /// Sets how all replicas of one's service behave.
     #[allow(dead_code, reason = "only the soak uses it")]
     pub(crate) fn set_service_mode(&self, at: usize, mode: ReplicaMode) {
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -40,6 +40,8 @@
 /// Default seeds (first and last) and steps, as run in CI; the checks do not depend on them.
 const DEFAULT_SEEDS: (u64, u64) = (2, 3);
 const DEFAULT_STEPS: usize = 16;
+/// The probability of a drill at each step.
+const DRILL_PROBABILITY: f64 = 0.08;
 /// Number of check rounds after the last fault within which everything must be served again.
 const MAX_RECOVERY_ROUNDS: usize = 200;
 /// Number of consecutive rounds that must succeed.
@@ -55,6 +57,8 @@
     StoreLink(usize, LinkFault),
     Store(StoreMode),
     CompactHistory,
+    /// Copies the store, which comes back from that copy when the fault is cleared.
+    Drill,
     /// Removes a replica's entry from the store.
     ExpireEntry(usize),
     /// Makes the store unavailable, so that the entries of all replicas lapse. They register again
@@ -126,6 +130,7 @@
         Fault::StoreLink(at, link_fault) => deployment.instances[at].store.set_fault(link_fault),
         Fault::Store(mode) => mode.apply_to(&deployment.store),
         Fault::CompactHistory => deployment.store.compact(),
+        Fault::Drill => deployment.copy_store(),
         Fault::ExpireEntry(at) => deployment.deregister(at),
         Fault::LapsingOutage(mode) => {
             mode.apply_to(&deployment.store);
@@ -158,6 +163,7 @@
         Fault::ReplicaLink(at, _) => deployment.replicas[at].proxy.set_fault(LinkFault::None),
         Fault::StoreLink(at, _) => deployment.instances[at].store.set_fault(LinkFault::None),
         Fault::Store(_) => StoreMode::Normal.apply_to(&deployment.store),
+        Fault::Drill => deployment.restore_store(),
         Fault::ExpireEntry(at) => deployment.register(at),
         Fault::LapsingOutage(_) => {
             StoreMode::Normal.apply_to(&deployment.store);
@@ -190,6 +196,7 @@
 async fn soak(seed: u64, steps: usize) -> Vec<String> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut deployment = Deployment::start(&seed.to_string()).await;
+    deployment.store.state().begin_eras();
     let observations = Arc::new(Observations::default());
     let fronts: Vec<_> = deployment
         .instances
@@ -207,6 +214,8 @@
         .collect();
     let mut active_faults: Vec<(usize, Fault)> = Vec::new();
     let mut injected = Vec::new();
+    // Drawn apart, so that seeds go on to mean the same other faults.
+    let mut drill_rng = SmallRng::seed_from_u64(!seed);
     for step in 0..steps {
         for _ in 0..rng.random_range(0..3) {
             let fault = random_fault(&mut rng, deployment.replicas.len());
@@ -214,6 +223,11 @@
             inject(&mut deployment, fault).await;
             active_faults.push((step + rng.random_range(1..8), fault));
         }
+        if drill_rng.random_bool(DRILL_PROBABILITY) {
+            injected.push(format!("step {step}: {:?}", Fault::Drill));
+            inject(&mut deployment, Fault::Drill).await;
+            active_faults.push((step + drill_rng.random_range(1..16), Fault::Drill));
+        }
         sleep(STEP_INTERVAL).await;
         let expired = active_faults.extract_if(.., |(until, _)| *until <= step);
         for (_, fault) in expired.collect::<Vec<_>>() {
--- a/tests/standin/platform.rs
+++ b/tests/standin/platform.rs
@@ -15,7 +15,8 @@
 use serde_json::{Value, json};
 use tide::http::{Body, Method, Request, Response};
 
-pub(crate) use super::platform_state::{Calls, FakePlatform, Faults, Rates};
+#[allow(unused_imports, reason = "each test uses only some of them")]
+pub(crate) use super::platform_state::{Calls, FakePlatform, Faults, Rates, StoreCopy};
 use super::platform_wire::{
     WriteBody, event, instance_wire, key, listed_instance, name, object_wire, parameter,
     parse_write_body, percent_decoded, rejected, response, status,
--- a/tests/standin/platform_state.rs
+++ b/tests/standin/platform_state.rs
@@ -10,4 +10,5 @@
 #[path = "../../src/process/platform/fake.rs"]
 mod fake;
 
-pub(crate) use fake::{Calls, FakePlatform, Faults, Rates};
+#[allow(unused_imports, reason = "each test uses only some of them")]
+pub(crate) use fake::{Calls, FakePlatform, Faults, Rates, StoreCopy};
