--- a/src/process/fleet/mod.rs
+++ b/src/process/fleet/mod.rs
@@ -34,6 +34,8 @@
 #[cfg(test)]
 mod cut_off_tests;
 #[cfg(test)]
+mod era_cost_tests;
+#[cfg(test)]
 mod era_tests;
 #[cfg(test)]
 mod fleet_model;
--- a/tests/soak/replica.rs
+++ b/tests/soak/replica.rs
@@ -1,7 +1,7 @@
 //! A simulated replica that runs requests, records each run and has injectable faults.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use async_std::io::WriteExt;
@@ -115,6 +115,8 @@
     pub(crate) service: String,
     pub(crate) addr: SocketAddr,
     pub(crate) incarnation: u64,
+    /// The number of its reports to the store.
+    heartbeats: AtomicU64,
     mode: Arc<Mutex<ReplicaMode>>,
     /// When each request arrived, whether it ran or not.
     #[allow(dead_code, reason = "only tests/upstream_signals.rs reads it")]
@@ -176,6 +178,7 @@
             service: service.to_owned(),
             addr,
             incarnation,
+            heartbeats: AtomicU64::new(1),
             mode,
             arrivals,
             conns,
@@ -193,7 +196,7 @@
         json!({
             "service": self.service, "address": addr.to_string(), "zone": "suva-a",
             "version": "v1", "slots": 2, "state": state, "cold_remaining_ms": 0,
-            "sequence": 1, "born": self.incarnation,
+            "sequence": self.heartbeats.fetch_add(1, Ordering::Relaxed), "born": self.incarnation,
         })
     }
 
--- a/tests/store_drill.rs
+++ b/tests/store_drill.rs
@@ -166,8 +166,6 @@
     deployment: Deployment,
     written: Written,
     observations: Arc<Observations>,
-    /// The number of the last report of any replica.
-    sequence: u64,
     violations: Vec<String>,
 }
 
@@ -190,7 +188,6 @@
             deployment,
             written: Arc::new(Mutex::new(Due { version, since })),
             observations: Arc::default(),
-            sequence: 1,
             violations: Vec::new(),
         };
         let callers = drill.start_callers();
@@ -278,11 +275,9 @@
     }
 
     /// Writes a replica's report, as the replica does. Returns when the store accepted it.
-    fn report(&mut self, at: usize, state: &str) -> Instant {
-        self.sequence += 1;
+    fn report(&self, at: usize, state: &str) -> Instant {
         let proxied = &self.deployment.replicas[at];
-        let mut entry = proxied.replica.entry(proxied.proxy.addr, state);
-        entry["sequence"] = json!(self.sequence);
+        let entry = proxied.replica.entry(proxied.proxy.addr, state);
         let key = format!("servers/{}", proxied.replica.id);
         self.deployment.store.set(&key, entry);
         Instant::now()
