Read past control characters in replies of the store

What callers saw: once another writer had left an entry with control characters that are not escaped, no change of any replica took effect, and a replica that had left went on getting requests (DRAIN).

Cause: the whole reply of the store failed to parse, which the reader took for an outage.

The three new rows of odd_entries in store_wire_tests failed before this change, with "control characters".

The fix: control characters become spaces before a reply is parsed. Between tokens they mean the same, and inside a string only an object that is no JSON has them, which then fails or passes for itself.

--- a/src/platform/store_wire.rs
+++ b/src/platform/store_wire.rs
@@ -106,10 +106,17 @@
     pub(super) revision: Option<u64>,
 }
 
-/// Returns the text of a body. Bytes that are not UTF-8 are replaced, so that the object which has
-/// them does not hide the others.
+/// Returns the text of a body. Bytes that are not UTF-8 are replaced, and control characters, which
+/// JSON allows only as white space between tokens, become spaces. Otherwise the object which has them
+/// would hide the others.
 pub(super) fn text(body: &[u8]) -> Cow<'_, str> {
-    String::from_utf8_lossy(body)
+    let text = String::from_utf8_lossy(body);
+    let is_control = |c: char| c < ' ';
+    if text.contains(is_control) {
+        Cow::Owned(text.replace(is_control, " "))
+    } else {
+        text
+    }
 }
 
 pub(super) fn protocol_error(error: impl std::fmt::Display) -> PlatformError {
--- a/src/platform/store_wire_tests.rs
+++ b/src/platform/store_wire_tests.rs
@@ -122,6 +122,9 @@
         entry("a port out of range", &address("10.0.0.1:65536")),
         entry("port zero", &address("10.0.0.1:0")),
         entry("a lone surrogate", &address(r"\ud800")),
+        entry("control characters", "\"\u{1}\u{2}\u{7f}\u{1b}\""),
+        entry("a line break in a string", "{\"service\": \"a\nb\"}"),
+        entry("a zero byte between tokens", "{\"service\":\0 \"a\"}"),
         OddEntry {
             name: "bytes that are not UTF-8",
             spec: b"{\"service\": \"\xff\xfe\"}".to_vec(),
