Read the change again: eras of updates in a file of their own, one request form at a time

An instance that has nothing from the store yet states no age and knows no era. A row of members_tests shows that an instance among others that only know an earlier era reads the store itself.

--- a/src/connection/fleet_wire.rs
+++ b/src/connection/fleet_wire.rs
@@ -2,14 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::entry_wire::{
-    EntryWire, EraEntryWire, entries, era_entries, received, received_with_eras,
-};
+use super::entry_wire::{EntryWire, entries, received};
 use super::peer_wire::{MemberWire, PeerWireError, collect};
 use crate::process::{
     FollowReason, FollowRequest, InstanceRecord, SilenceReport, SilentReplica, Updates,
 };
-use crate::types::{ChunkId, Era, Fingerprint, Incarnation, InstanceName, Position, Span};
+use crate::types::{ChunkId, Fingerprint, Incarnation, InstanceName, Position, Span};
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -70,43 +68,6 @@
     silent: Vec<SilentReplicaWire>,
 }
 
-/// Updates with the eras of their objects, which `updates` leaves out.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub(crate) struct EraUpdatesWire {
-    updates: UpdatesWire,
-    era: u64,
-    objects: Vec<EraEntryWire>,
-    is_complete: bool,
-}
-
-impl EraUpdatesWire {
-    pub(super) fn new(updates: &Updates, era: Era) -> Self {
-        Self {
-            updates: updates.into(),
-            era: era.0,
-            objects: era_entries(updates),
-            is_complete: updates.is_complete,
-        }
-    }
-}
-
-impl TryFrom<EraUpdatesWire> for Updates {
-    type Error = PeerWireError;
-
-    fn try_from(wire: EraUpdatesWire) -> Result<Self, PeerWireError> {
-        let received = received_with_eras(wire.objects)?;
-        Ok(Self {
-            era: Some(Era(wire.era)),
-            objects: received.entries,
-            large: received.large,
-            chunks: received.chunks,
-            is_complete: wire.is_complete,
-            ..wire.updates.try_into()?
-        })
-    }
-}
-
 impl From<&InstanceRecord> for InstanceRecordWire {
     fn from(instance_record: &InstanceRecord) -> Self {
         Self {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -9,6 +9,7 @@
 mod conn;
 mod disconnect_watch;
 mod entry_wire;
+mod era_wire;
 mod exchange;
 #[cfg(test)]
 mod fleet_samples;
--- a/src/connection/peer.rs
+++ b/src/connection/peer.rs
@@ -124,19 +124,19 @@
             Some(connection) => connection,
             None => self.connect(addr, false).await?,
         };
-        let older_form = || PeerRequestWire::from(request).without_eras();
-        let wire = older_form().filter(|_| connection.is_older);
-        let wire = wire.unwrap_or_else(|| PeerRequestWire::from(request));
+        let mut wire = PeerRequestWire::from(request);
+        if connection.is_older {
+            wire = wire.without_eras();
+        }
         let response = self.exchange(&connection, &wire, received).await;
         let is_refused = matches!(response, Err(PeerError::Refused(StatusCode::BAD_REQUEST)));
-        match older_form().filter(|_| is_refused && !connection.is_older) {
-            // A refusal ends the connection.
-            Some(wire) => {
-                let connection = self.connect(addr, true).await?;
-                self.exchange(&connection, &wire, received).await
-            }
-            None => response,
+        if !is_refused || !matches!(wire, PeerRequestWire::FollowEras(..)) {
+            return response;
         }
+        // A refusal ends the connection.
+        let connection = self.connect(addr, true).await?;
+        self.exchange(&connection, &wire.without_eras(), received)
+            .await
     }
 
     async fn exchange(
--- a/src/connection/peer_wire.rs
+++ b/src/connection/peer_wire.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::entry_wire::PartRequestWire;
-use super::fleet_wire::{EraUpdatesWire, FollowRequestWire, UpdatesWire};
+use super::era_wire::EraUpdatesWire;
+use super::fleet_wire::{FollowRequestWire, UpdatesWire};
 use super::heartbeat_wire::{HeartbeatReplyWire, HeartbeatWire, ObjectWire};
 use super::mark_wire::MarkWire;
 use crate::process::{Member, Object, ObjectKey, PeerRequest, PeerResponse, Updates};
@@ -119,12 +120,12 @@
 }
 
 impl PeerRequestWire {
-    /// Returns the request in the form that the version before can read, if there is one.
-    pub(super) fn without_eras(self) -> Option<Self> {
+    /// Returns the request in the form that the version before can read.
+    pub(super) fn without_eras(self) -> Self {
         match self {
-            Self::FollowEras(follow, chunks) if chunks.is_empty() => Some(Self::Follow(follow)),
-            Self::FollowEras(follow, chunks) => Some(Self::FollowChunks(follow, chunks)),
-            _ => None,
+            Self::FollowEras(follow, chunks) if chunks.is_empty() => Self::Follow(follow),
+            Self::FollowEras(follow, chunks) => Self::FollowChunks(follow, chunks),
+            other => other,
         }
     }
 }
--- a/src/process/fleet/follow.rs
+++ b/src/process/fleet/follow.rs
@@ -213,7 +213,9 @@
     let now = node.clock.now();
     let is_loop = updates.via.contains(&node.settings.me.member.name);
     let age = updates.age;
-    let is_earlier_era = updates.era.unwrap_or_default() < node.object_cache.lock().era();
+    // One that has nothing from the store yet knows no era either.
+    let era = updates.era.unwrap_or_default();
+    let is_earlier_era = age.is_some() && era < node.object_cache.lock().era();
     let (freshness, avoids) = {
         let mut fleet = node.fleet.lock();
         let freshness = if is_earlier_era {
--- a/src/process/fleet/members_tests.rs
+++ b/src/process/fleet/members_tests.rs
@@ -48,6 +48,7 @@
 enum Fault {
     Unresponsive(u8),
     StaleUpdates(u8),
+    EarlierEra(u8),
     StoreFails,
     StoreAnswers,
     Delegated,
@@ -70,6 +71,11 @@
 #[case::the_store_is_away_for_all(Case {
     me: 5, faults: &[Fault::StaleUpdates(4), Fault::StaleUpdates(1), Fault::StaleUpdates(2)], wanted: Some(4),
 })]
+#[case::all_others_know_an_earlier_era_only(Case {
+    me: 5,
+    faults: &[Fault::EarlierEra(4), Fault::EarlierEra(1), Fault::EarlierEra(2), Fault::EarlierEra(3)],
+    wanted: None,
+})]
 #[case::the_next_one_is_followed(Case { me: 3, faults: &[Fault::Unresponsive(1)], wanted: Some(2) })]
 #[case::the_store_fails_for_the_reader(Case { me: 1, faults: &[Fault::StoreFails], wanted: Some(4) })]
 #[case::the_store_answers_again(Case { me: 1, faults: &[Fault::StoreFails, Fault::StoreAnswers], wanted: None })]
@@ -91,6 +97,7 @@
         match fault {
             Fault::Unresponsive(at) => fleet.mark_unresponsive(now, addr(*at)),
             Fault::StaleUpdates(at) => drop(fleet.judge(now, addr(*at), Freshness::Stale)),
+            Fault::EarlierEra(at) => drop(fleet.judge(now, addr(*at), Freshness::EarlierEra)),
             Fault::StoreFails => fleet.on_store_failure(now, Span::from_secs(1)),
             Fault::StoreAnswers => fleet.on_store_success(now),
             Fault::Delegated => fleet.on_followed(now, &"n1".parse().unwrap(), UpdateRole::Reader),
--- a/src/process/fleet/updates.rs
+++ b/src/process/fleet/updates.rs
@@ -53,7 +53,9 @@
                 .ok();
         }
         let mut updates = self.updates_since(me, objects, members, chunks);
-        updates.era = updates.era.filter(|_| follow.knows_eras);
+        if !follow.knows_eras {
+            updates.era = None;
+        }
         self.engine.metrics.members.sent_update(updates.size());
         updates
     }
