--- a/tests/store_drill.rs
+++ b/tests/store_drill.rs
@@ -225,16 +225,11 @@
         self.change_config();
         let judged = [(leaves, left_at), (drains, drained_at)];
         sleep(self.case.copy_age).await;
-        for number in 0..self.case.drills {
-            let copy = if number == 0 {
-                copy.clone()
-            } else {
-                self.deployment.store.state().copy()
-            };
+        for _ in 0..self.case.drills {
             self.disturb().await;
             self.deployment.store.faults(|faults| faults.down = true);
             sleep(self.case.away).await;
-            self.deployment.store.state().restore(copy);
+            self.deployment.store.state().restore(copy.clone());
             self.deployment.store.faults(|faults| faults.down = false);
             sleep(OPERATOR_RETURNS_AFTER).await;
             self.deployment.write_config();
