--- a/src/process/fleet/avoided.rs
+++ b/src/process/fleet/avoided.rs
@@ -21,7 +21,7 @@
     Unresponsive,
     /// Its updates are stale. Requests of its own do not change that.
     Stale,
-    /// It knows less of the store than this instance, and will not tell when that has changed.
+    /// It knows an earlier era of the store only. Requests of its own do not change that.
     EarlierEra,
     /// It could not read the store in place of this instance.
     CannotDelegate,
--- a/src/process/fleet/restore.rs
+++ b/src/process/fleet/restore.rs
@@ -25,8 +25,8 @@
     pub(super) last_value: Option<&'a Arc<[u8]>>,
 }
 
-/// Returns what holds at the version of `entry`: `entry` itself, unless it is older than what is
-/// known by the order of its writer. Only after the store came back from a copy can that be so.
+/// Returns what holds at the version of `entry`. That is `entry` itself, unless its writer wrote it
+/// before what is known, which can only be so after the store came back from a copy.
 pub(super) fn reconcile(decoder: &dyn ObjectDecoder, known: Known<'_>, entry: Entry) -> Entry {
     let is_kept = matches!(known.entry.state, EntryState::Kept(..));
     let may_be_older = is_kept || is_of_earlier_era(known.entry, entry.version.era);
--- a/src/process/platform/fake_store.rs
+++ b/src/process/platform/fake_store.rs
@@ -67,7 +67,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Store {
     /// Everything that is lost when the store comes back from a copy.
-    copied: StoreCopy,
+    content: StoreCopy,
     /// The number of the era, or 0 if the store states none.
     pub(super) era: u64,
     pub(super) instances: Vec<(Instant, Vec<ListedInstance>)>,
@@ -118,19 +118,19 @@
     }
 
     pub(super) fn write(&mut self, key: &str, value: Option<Vec<u8>>) -> u64 {
-        self.copied.revision += 1;
-        self.copied
+        self.content.revision += 1;
+        self.content
             .history
-            .push((self.copied.revision, key.to_owned()));
+            .push((self.content.revision, key.to_owned()));
         match value {
             Some(value) => self
-                .copied
+                .content
                 .objects
-                .insert(key.to_owned(), (self.copied.revision, value)),
-            None => self.copied.objects.remove(key),
+                .insert(key.to_owned(), (self.content.revision, value)),
+            None => self.content.objects.remove(key),
         };
         self.watchers.clear();
-        self.copied.revision
+        self.content.revision
     }
 
     pub(super) fn write_if(
@@ -146,7 +146,7 @@
         if consume(&mut self.faults.lose_writes) {
             return Err(outcome_unknown());
         }
-        let found = self.copied.objects.get(key).map(|(version, _)| *version);
+        let found = self.content.objects.get(key).map(|(version, _)| *version);
         if found != expected.map(|version| version.0) {
             return Err(PlatformError::Conflict);
         }
@@ -158,7 +158,7 @@
     }
 
     pub(super) fn object(&self, key: &str) -> Option<Object> {
-        let (version, value) = self.copied.objects.get(key)?;
+        let (version, value) = self.content.objects.get(key)?;
         Some(Object {
             key: ObjectKey::new(key),
             version: ObjectVersion(*version),
@@ -168,13 +168,13 @@
 
     pub(super) fn list(&self, prefix: &str) -> Listing {
         let objects = self
-            .copied
+            .content
             .objects
             .keys()
             .filter_map(|key| self.object(key));
         Listing {
             era: Era(self.era),
-            revision: Revision(self.copied.revision),
+            revision: Revision(self.content.revision),
             objects: objects
                 .filter(|object| object.key.is_under(prefix))
                 .collect(),
@@ -182,12 +182,12 @@
     }
 
     pub(super) fn copy(&self) -> StoreCopy {
-        self.copied.clone()
+        self.content.clone()
     }
 
     /// Comes back from a copy, which begins an era. Watches that wait go on in it.
     pub(super) fn restore(&mut self, copy: StoreCopy) {
-        self.copied = copy;
+        self.content = copy;
         self.era += 1;
         self.wake_watches();
     }
@@ -214,8 +214,8 @@
         if self.faults.down {
             return Err(unreachable());
         }
-        let is_lost = from.0 > self.copied.revision;
-        if from.0 < self.copied.compacted || is_lost {
+        let is_lost = from.0 > self.content.revision;
+        if from.0 < self.content.compacted || is_lost {
             return Err(PlatformError::Compacted);
         }
         let changes = self.changes_since(prefix, from);
@@ -224,14 +224,14 @@
         }
         Ok(Changes {
             era: Era(self.era),
-            revision: Revision(self.copied.revision),
+            revision: Revision(self.content.revision),
             changes,
         })
     }
 
     fn changes_since(&self, prefix: &str, from: Revision) -> Vec<Change> {
         let mut latest: IndexMap<ObjectKey, u64> = IndexMap::new();
-        for (revision, key) in &self.copied.history {
+        for (revision, key) in &self.content.history {
             let key = ObjectKey::new(key);
             if *revision > from.0 && key.is_under(prefix) {
                 latest.insert(key, *revision);
@@ -248,8 +248,8 @@
     }
 
     pub(super) fn compact(&mut self) {
-        self.copied.compacted = self.copied.revision;
-        self.copied.history.clear();
+        self.content.compacted = self.content.revision;
+        self.content.history.clear();
         self.wake_watches();
     }
 
