Keep the last report of a replica with the record that it left

Cause: an instance that starts after a replica's entry was removed gets the record of the deletion from others, without the replica's last report. If the store comes back from a copy then, and the replica registers again before the store is listed, the instance took that for what the copy holds, and the replica stayed gone until its entry changed once more. Where that instance reads the store, all others took it over.

The fix: the record of a deletion holds the place of the last report, also in messages between instances, so that a later one is told from one of the copy. If nobody knows it, what the store lists counts; such a replica is used until it is removed again.

--- a/src/connection/entry_wire.rs
+++ b/src/connection/entry_wire.rs
@@ -37,7 +37,7 @@
         id: u128,
         compressed: Vec<u8>,
     },
-    /// Only sent together with an era: the object's value outlived a copy of the store.
+    /// Only sent together with an era, as all that follow: the object's value outlived a copy of the store.
     Kept {
         value: Vec<u8>,
         order: WriterOrderWire,
@@ -48,6 +48,8 @@
         chunks: Vec<u128>,
         order: WriterOrderWire,
     },
+    /// The same for a deleted object: the place of its last state.
+    GoneAfter(WriterOrderWire),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -135,7 +137,8 @@
             EntryStateWire::Kept { value, order } => {
                 EntryState::Kept(Arc::from(value), order.into())
             }
-            EntryStateWire::Gone => EntryState::Gone,
+            EntryStateWire::Gone => EntryState::Gone(None),
+            EntryStateWire::GoneAfter(order) => EntryState::Gone(Some(order.into())),
             EntryStateWire::Lapsed => EntryState::Lapsed,
             EntryStateWire::Large(_) | EntryStateWire::Part { .. } => {
                 return Err(PeerWireError::OlderVersion);
@@ -204,11 +207,17 @@
 impl From<&Entry> for EraEntryWire {
     fn from(entry: &Entry) -> Self {
         let mut wire = EntryWire::from(entry);
-        if let EntryState::Kept(value, order) = &entry.state {
-            wire.state = EntryStateWire::Kept {
-                value: value.to_vec(),
-                order: (*order).into(),
-            };
+        match &entry.state {
+            EntryState::Kept(value, order) => {
+                wire.state = EntryStateWire::Kept {
+                    value: value.to_vec(),
+                    order: (*order).into(),
+                };
+            }
+            EntryState::Gone(Some(order)) => {
+                wire.state = EntryStateWire::GoneAfter((*order).into());
+            }
+            EntryState::Present(_) | EntryState::Gone(None) | EntryState::Lapsed => {}
         }
         Self {
             era: entry.version.era.0,
@@ -240,7 +249,7 @@
             EntryState::Present(value) | EntryState::Kept(value, _) => {
                 EntryStateWire::Held(value.to_vec())
             }
-            EntryState::Gone => EntryStateWire::Gone,
+            EntryState::Gone(_) => EntryStateWire::Gone,
             EntryState::Lapsed => EntryStateWire::Lapsed,
         };
         Self {
--- a/src/connection/fleet_samples.rs
+++ b/src/connection/fleet_samples.rs
@@ -40,7 +40,7 @@
         state in prop_oneof![
             any::<Vec<u8>>().prop_map(|value| EntryState::Present(Arc::from(value))),
             (any::<Vec<u8>>(), order()).prop_map(|(value, order)| EntryState::Kept(Arc::from(value), order)),
-            Just(EntryState::Gone),
+            prop::option::of(order()).prop_map(EntryState::Gone),
             Just(EntryState::Lapsed)
         ],
     ) -> Entry {
--- a/src/process/fleet/entry.rs
+++ b/src/process/fleet/entry.rs
@@ -44,7 +44,7 @@
             EntryState::Present(_) => StatePrecedence::Present,
             EntryState::Kept(_, order) => StatePrecedence::Kept(*order),
             EntryState::Lapsed => StatePrecedence::Lapsed,
-            EntryState::Gone => StatePrecedence::Gone,
+            EntryState::Gone(last) => StatePrecedence::Gone(*last),
         };
         Precedence {
             version: self.version,
@@ -66,8 +66,9 @@
     /// The object has this value, although the copy from which the store came back has an older
     /// one, or none.
     Kept(Arc<[u8]>, WriterOrder),
-    /// The object was deleted.
-    Gone,
+    /// The object was deleted. Its last state had this place in the order of its writer, if that is
+    /// known.
+    Gone(Option<WriterOrder>),
     /// The object disappeared around an outage of the store, so it may only have lapsed.
     Lapsed,
 }
@@ -77,7 +78,7 @@
     pub(crate) fn value(&self) -> Option<&Arc<[u8]>> {
         match self {
             Self::Present(value) | Self::Kept(value, _) => Some(value),
-            Self::Gone | Self::Lapsed => None,
+            Self::Gone(_) | Self::Lapsed => None,
         }
     }
 }
@@ -97,5 +98,5 @@
     Kept(WriterOrder),
     /// A state is known before the object lapses or is deleted at its version.
     Lapsed,
-    Gone,
+    Gone(Option<WriterOrder>),
 }
--- a/src/process/fleet/large_objects.rs
+++ b/src/process/fleet/large_objects.rs
@@ -152,7 +152,7 @@
         let value = entry.state.value()?;
         let kept = match &entry.state {
             EntryState::Kept(_, order) => Some(*order),
-            EntryState::Present(_) | EntryState::Gone | EntryState::Lapsed => None,
+            EntryState::Present(_) | EntryState::Gone(_) | EntryState::Lapsed => None,
         };
         (value.len() > MAX_WHOLE_BYTES).then(|| LargeObject {
             key: entry.key.clone(),
--- a/src/process/fleet/object_cache.rs
+++ b/src/process/fleet/object_cache.rs
@@ -5,21 +5,14 @@
 //! changes that this instance applied, so that a follower is sent only the changes it
 //! lacks.
 
-use std::sync::Arc;
-
 use indexmap::{IndexMap, IndexSet};
 
 use super::chunks::Chunk;
 use super::large_objects::{LargeObject, LargeObjects};
-use super::restore::Known;
-use super::{Entry, EntryState, EntryVersion};
+use super::{Entry, EntryVersion};
 use crate::process::ObjectKey;
 use crate::types::{ChunkId, Era, Position, Span, Timestamp};
 
-/// The number of deleted objects whose last values are kept. A copy of the store is some seconds
-/// old, so only what was deleted lately can be in it.
-const MAX_LAST_VALUES: usize = 4_096;
-
 /// The changes of the cache after a position.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct CacheChanges {
@@ -38,8 +31,6 @@
 pub(crate) struct ObjectCache {
     entries: IndexMap<ObjectKey, (Position, Entry)>,
     large: LargeObjects,
-    /// The values that objects had before they were deleted, oldest first.
-    last_values: IndexMap<ObjectKey, Arc<[u8]>>,
     /// The latest era of the store that is known.
     era: Era,
     last_position: Position,
@@ -95,12 +86,12 @@
     /// Applies an entry unless it is no newer than the known one. Returns whether anything
     /// changed.
     pub(crate) fn apply(&mut self, entry: Entry) -> bool {
-        let known = self.entries.get(&entry.key).map(|(_, known)| known);
-        if known.is_some_and(|known| entry.precedence() <= known.precedence()) {
+        if self
+            .known(&entry.key)
+            .is_some_and(|known| entry.precedence() <= known.precedence())
+        {
             return false;
         }
-        let last_value = known.and_then(|known| known.state.value()).cloned();
-        self.keep_last_value(&entry, last_value);
         self.last_position = Position(self.last_position.0 + 1);
         self.large.hold(&entry);
         self.entries
@@ -108,26 +99,9 @@
         true
     }
 
-    fn keep_last_value(&mut self, entry: &Entry, last_value: Option<Arc<[u8]>>) {
-        match (&entry.state, last_value) {
-            (EntryState::Gone | EntryState::Lapsed, Some(value)) => {
-                if self.last_values.len() == MAX_LAST_VALUES {
-                    self.last_values.shift_remove_index(0);
-                }
-                self.last_values.insert(entry.key.clone(), value);
-            }
-            (EntryState::Present(_) | EntryState::Kept(..), _) => {
-                self.last_values.shift_remove(&entry.key);
-            }
-            (EntryState::Gone | EntryState::Lapsed, None) => {}
-        }
-    }
-
     /// Returns what is known of an object.
-    pub(super) fn known(&self, key: &ObjectKey) -> Option<Known<'_>> {
-        let (_, entry) = self.entries.get(key)?;
-        let last_value = self.last_values.get(key);
-        Some(Known { entry, last_value })
+    pub(super) fn known(&self, key: &ObjectKey) -> Option<&Entry> {
+        self.entries.get(key).map(|(_, entry)| entry)
     }
 
     /// Returns the latest era of the store that is known.
--- a/src/process/fleet/outage.rs
+++ b/src/process/fleet/outage.rs
@@ -38,7 +38,7 @@
         if may_be_lapse {
             EntryState::Lapsed
         } else {
-            EntryState::Gone
+            EntryState::Gone(None)
         }
     }
 }
--- a/src/process/fleet/replica_registry.rs
+++ b/src/process/fleet/replica_registry.rs
@@ -65,7 +65,7 @@
                 }
                 None
             }
-            (EntryState::Gone, _) | (EntryState::Present(_) | EntryState::Kept(..), None) => {
+            (EntryState::Gone(_), _) | (EntryState::Present(_) | EntryState::Kept(..), None) => {
                 self.remove(key)
             }
         }
--- a/src/process/fleet/restore.rs
+++ b/src/process/fleet/restore.rs
@@ -17,35 +17,21 @@
     pub(crate) number: u64,
 }
 
-/// What is known of an object when a state of it arrives.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Known<'a> {
-    pub(super) entry: &'a Entry,
-    /// The last value before the object was deleted.
-    pub(super) last_value: Option<&'a Arc<[u8]>>,
-}
-
 /// Returns what holds at the version of `entry`. That is `entry` itself, unless its writer wrote it
 /// before what is known, which can only be so after the store came back from a copy.
-pub(super) fn reconcile(decoder: &dyn ObjectDecoder, known: Known<'_>, entry: Entry) -> Entry {
-    let is_kept = matches!(known.entry.state, EntryState::Kept(..));
-    let may_be_older = is_kept || is_of_earlier_era(known.entry, entry.version.era);
-    let Some(value) = entry.state.value().filter(|_| may_be_older) else {
-        return entry;
-    };
+pub(super) fn reconcile(decoder: &dyn ObjectDecoder, known: &Entry, entry: Entry) -> Entry {
     let order = |value: &Arc<[u8]>| decoder.writer_order(&entry.key, value);
-    let arrived = order(value);
-    let state = match &known.entry.state {
-        EntryState::Present(value) | EntryState::Kept(value, _) => {
-            let outlived = order(value).filter(|known| Some(*known) > arrived);
-            outlived.map(|order| EntryState::Kept(Arc::clone(value), order))
+    let is_kept = matches!(known.state, EntryState::Kept(..));
+    let may_be_older = is_kept || is_of_earlier_era(known, entry.version.era);
+    let state = match (&entry.state, &known.state) {
+        (EntryState::Gone(None), EntryState::Gone(last)) => Some(EntryState::Gone(*last)),
+        (EntryState::Gone(None), known) => {
+            known.value().map(|value| EntryState::Gone(order(value)))
         }
-        EntryState::Gone => {
-            let last = known.last_value.and_then(order);
-            let is_back = last.is_some() && arrived > last;
-            (!is_back).then_some(EntryState::Gone)
+        (EntryState::Present(value) | EntryState::Kept(value, _), known) if may_be_older => {
+            outlived(known, order, order(value))
         }
-        EntryState::Lapsed => None,
+        _ => None,
     };
     match state {
         Some(state) => Entry { state, ..entry },
@@ -53,6 +39,24 @@
     }
 }
 
+/// Returns what holds of a known object instead of a state that arrived, if that is older.
+fn outlived(
+    known: &EntryState,
+    order: impl Fn(&Arc<[u8]>) -> Option<WriterOrder>,
+    arrived: Option<WriterOrder>,
+) -> Option<EntryState> {
+    match known {
+        EntryState::Present(value) | EntryState::Kept(value, _) => {
+            let known = order(value).filter(|known| Some(*known) > arrived)?;
+            Some(EntryState::Kept(Arc::clone(value), known))
+        }
+        EntryState::Gone(Some(last)) => {
+            (arrived <= Some(*last)).then_some(EntryState::Gone(Some(*last)))
+        }
+        EntryState::Gone(None) | EntryState::Lapsed => None,
+    }
+}
+
 /// Returns what becomes of a known object that a listing of this era lacks; `deleted` is the state
 /// of one that the store has deleted.
 pub(super) fn state_of_missing(
