--- a/src/process/fleet/entry.rs
+++ b/src/process/fleet/entry.rs
@@ -96,7 +96,8 @@
     Present,
     /// What outlived a copy of the store is later than what the copy holds.
     Kept(WriterOrder),
-    /// A state is known before the object lapses or is deleted at its version.
+    /// The version of a deletion is at least that of the last state, so at one version the deletion is
+    /// later.
     Lapsed,
     Gone(Option<WriterOrder>),
 }
